Lay out the build, its checks and the interfaces

Cause: the project starts; modules and protocols must be agreed before parts are written side by side. Six modules: core (decisions, no I/O), transport (HTTP server and client, shared by daemon and stand-ins, so that neither carries its own), standins, daemon, cli, bench.

--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as the process. */
+package org.sycamoretrack.cli.process;
