Add the HTTP server and client over Netty's codec

Cause: daemon and stand-ins both need HTTP with bounded sizes, slow-sender timeouts, streaming and a client that says whether a byte of a failed request may have been sent (needed for not-run). Weighed: Netty's aggregator (answers 413 without our error body), the JDK's client (hides whether bytes were sent, re-sends on stale connections by itself).

--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -0,0 +1,168 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/**
+ * The client's side of one connection, which carries one call at a time.
+ *
+ * <p>An answer that has neither a length nor chunks would end where the connection closes, which
+ * can't be told from a crash; it is refused as malformed.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private final Consumer<ClientConnection> onIdle;
+  private ChannelHandlerContext ctx;
+  private ClientExchange exchange;
+  private boolean keepAlive;
+  private boolean informational;
+
+  ClientConnection(Consumer<ClientConnection> onIdle) {
+    this.onIdle = onIdle;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    this.ctx = ctx;
+  }
+
+  boolean isActive() {
+    return ctx.channel().isActive();
+  }
+
+  void close() {
+    ctx.close();
+  }
+
+  /** Sends a call's request. The connection is open and carries no other call. */
+  void begin(ClientExchange next) {
+    exchange = next;
+    next.begin(ctx.channel());
+    ctx.writeAndFlush(encode(next.request()))
+        .addListener(
+            done -> {
+              if (!done.isSuccess()) {
+                fail(HttpFailure.Kind.CLOSED_EARLY, "the request could not be written");
+              }
+            });
+  }
+
+  private static FullHttpRequest encode(HttpRequest request) {
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(request.method()),
+            request.target(),
+            Unpooled.wrappedBuffer(request.body()));
+    request.headers().forEach(message.headers()::set);
+    InetSocketAddress address = request.address();
+    message
+        .headers()
+        .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+    if (request.body().length > 0 || !request.method().equals("GET")) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    return message;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (exchange == null) {
+      context.close();
+      return;
+    }
+    exchange.onRead();
+    if (message.decoderResult().isFailure()) {
+      fail(HttpFailure.Kind.MALFORMED, "the answer is not HTTP");
+      return;
+    }
+    if (message instanceof HttpResponse response && !onHead(response)) {
+      return;
+    }
+    if (message instanceof HttpContent content && !informational) {
+      onContent(content);
+    }
+  }
+
+  /** Returns whether the body of the message, if it brings one, belongs to the answer. */
+  private boolean onHead(HttpResponse response) {
+    int status = response.status().code();
+    informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    boolean bodiless =
+        status == NO_CONTENT
+            || status == NOT_MODIFIED
+            || informational
+            || exchange.request().method().equals("HEAD");
+    if (!bodiless
+        && !HttpUtil.isTransferEncodingChunked(response)
+        && !HttpUtil.isContentLengthSet(response)) {
+      fail(HttpFailure.Kind.MALFORMED, "the answer has no end marker");
+      return false;
+    }
+    if (informational) {
+      return false;
+    }
+    keepAlive = HttpUtil.isKeepAlive(response);
+    exchange.listener().onHead(status, response.headers());
+    return true;
+  }
+
+  private void onContent(HttpContent content) {
+    if (exchange != null && !exchange.isFinished() && content.content().isReadable()) {
+      exchange.listener().onBody(content.content());
+    }
+    if (content instanceof LastHttpContent && exchange != null) {
+      onEnd();
+    }
+  }
+
+  private void onEnd() {
+    ClientExchange ended = exchange;
+    exchange = null;
+    if (keepAlive && !ended.isFinished()) {
+      ctx.channel().config().setAutoRead(true);
+      onIdle.accept(this);
+    } else {
+      ctx.close();
+    }
+    ended.succeed();
+  }
+
+  private void fail(HttpFailure.Kind kind, String message) {
+    ClientExchange failed = exchange;
+    exchange = null;
+    ctx.close();
+    if (failed != null) {
+      failed.fail(new HttpFailure(kind, true, message));
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    fail(HttpFailure.Kind.CLOSED_EARLY, "the connection closed before the answer had ended");
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail(HttpFailure.Kind.CLOSED_EARLY, "the connection failed: " + cause.getMessage());
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientExchange.java
@@ -0,0 +1,137 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.transport.request.HttpCall;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+import org.sycamoretrack.transport.request.HttpResponseListener;
+
+/**
+ * One call of the client: its timers and its end. Confined to its event loop.
+ *
+ * <p>Invariant: the listener is told of one end, and of nothing after it.
+ */
+final class ClientExchange implements HttpCall {
+  private final HttpRequest request;
+  private final HttpResponseListener listener;
+  private final EventLoop loop;
+  private final ScheduledFuture<?> deadline;
+  private ScheduledFuture<?> idleTimer;
+  private long lastReadNanos;
+  private Channel channel;
+  private boolean maybeSent;
+  private boolean finished;
+
+  ClientExchange(HttpRequest request, HttpResponseListener listener, EventLoop loop) {
+    this.request = request;
+    this.listener = listener;
+    this.loop = loop;
+    this.deadline =
+        loop.schedule(
+            () -> timeOut("no whole answer within " + request.timeoutMs() + " ms"),
+            request.timeoutMs(),
+            TimeUnit.MILLISECONDS);
+  }
+
+  HttpRequest request() {
+    return request;
+  }
+
+  HttpResponseListener listener() {
+    return listener;
+  }
+
+  boolean isFinished() {
+    return finished;
+  }
+
+  boolean maybeSent() {
+    return maybeSent;
+  }
+
+  /** Notes the connection that carries the call, just before the first byte is written. */
+  void begin(Channel channel) {
+    this.channel = channel;
+    this.maybeSent = true;
+    this.lastReadNanos = System.nanoTime();
+    if (request.idleTimeoutMs() > 0) {
+      scheduleIdleCheck(request.idleTimeoutMs());
+    }
+  }
+
+  private void scheduleIdleCheck(long delayMs) {
+    idleTimer = loop.schedule(this::checkIdle, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkIdle() {
+    long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastReadNanos);
+    if (idleMs >= request.idleTimeoutMs()) {
+      timeOut("no byte of the answer for " + request.idleTimeoutMs() + " ms");
+    } else {
+      scheduleIdleCheck(request.idleTimeoutMs() - idleMs);
+    }
+  }
+
+  void onRead() {
+    lastReadNanos = System.nanoTime();
+  }
+
+  private void timeOut(String message) {
+    fail(new HttpFailure(HttpFailure.Kind.TIMED_OUT, maybeSent, message));
+  }
+
+  /** Ends the call well. */
+  void succeed() {
+    if (finish()) {
+      listener.onEnd();
+    }
+  }
+
+  /** Ends the call with a failure and closes its connection. */
+  void fail(HttpFailure failure) {
+    if (finish()) {
+      if (channel != null) {
+        channel.close();
+      }
+      listener.onFailure(failure);
+    }
+  }
+
+  private boolean finish() {
+    if (finished) {
+      return false;
+    }
+    finished = true;
+    deadline.cancel(false);
+    if (idleTimer != null) {
+      idleTimer.cancel(false);
+    }
+    return true;
+  }
+
+  @Override
+  public void cancel() {
+    onLoop(() -> fail(new HttpFailure(HttpFailure.Kind.CANCELLED, maybeSent, "cancelled")));
+  }
+
+  @Override
+  public void setReading(boolean reading) {
+    onLoop(
+        () -> {
+          if (channel != null && !finished) {
+            channel.config().setAutoRead(reading);
+          }
+        });
+  }
+
+  private void onLoop(Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -0,0 +1,164 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpCall;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+import org.sycamoretrack.transport.request.HttpResponseListener;
+
+/**
+ * An HTTP/1.1 client over Netty's codec, with a pool of idle connections for each event loop.
+ *
+ * <p>A call lives on one event loop: the one that it was sent from, or any when it was sent from
+ * another thread. Connections are reused on the loop that opened them, so that the pool needs no
+ * lock. A request is never sent twice: what a broken connection means is for the sender to decide,
+ * from {@link HttpFailure#maybeSent()}.
+ */
+public final class HttpClient {
+  private static final int MAX_IDLE_PER_ADDRESS = 64;
+  private static final int DEFAULT_MAX_ANSWER_BYTES = 16 << 20;
+
+  private final EventLoopGroup group;
+  private final int connectTimeoutMs;
+  private final Map<EventLoop, Map<InetSocketAddress, Deque<ClientConnection>>> idle =
+      new ConcurrentHashMap<>();
+
+  /**
+   * Creates a client.
+   *
+   * @param group the loops that carry its connections
+   * @param connectTimeoutMs the longest time to open a connection, in milliseconds
+   */
+  public HttpClient(EventLoopGroup group, int connectTimeoutMs) {
+    this.group = group;
+    this.connectTimeoutMs = connectTimeoutMs;
+  }
+
+  /**
+   * Sends a request on any event loop.
+   *
+   * @param request the request
+   * @param listener receives the answer
+   * @return the call
+   */
+  public HttpCall send(HttpRequest request, HttpResponseListener listener) {
+    return send(request, listener, group.next());
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param request the request
+   * @param listener receives the answer, on the event loop
+   * @param loop a loop of this client's group
+   * @return the call
+   */
+  public HttpCall send(HttpRequest request, HttpResponseListener listener, EventLoop loop) {
+    ClientExchange exchange = new ClientExchange(request, listener, loop);
+    if (loop.inEventLoop()) {
+      start(exchange, loop);
+    } else {
+      loop.execute(() -> start(exchange, loop));
+    }
+    return exchange;
+  }
+
+  /**
+   * Sends a request and collects its answer.
+   *
+   * @param request the request
+   * @return the answer, whatever its status; fails with {@link HttpFailure}
+   */
+  public CompletableFuture<HttpAnswer> call(HttpRequest request) {
+    CompletableFuture<HttpAnswer> future = new CompletableFuture<>();
+    HttpCall call = send(request, new AnswerCollector(future, DEFAULT_MAX_ANSWER_BYTES));
+    future.whenComplete(
+        (answer, failure) -> {
+          if (failure != null) {
+            call.cancel();
+          }
+        });
+    return future;
+  }
+
+  private void start(ClientExchange exchange, EventLoop loop) {
+    if (exchange.isFinished()) {
+      return;
+    }
+    if (!exchange.request().freshConnection()) {
+      Deque<ClientConnection> connections = idleConnections(loop, exchange.request().address());
+      ClientConnection connection;
+      while ((connection = connections.pollFirst()) != null) {
+        if (connection.isActive()) {
+          connection.begin(exchange);
+          return;
+        }
+      }
+    }
+    connect(exchange, loop);
+  }
+
+  private Deque<ClientConnection> idleConnections(EventLoop loop, InetSocketAddress address) {
+    return idle.computeIfAbsent(loop, any -> new HashMap<>())
+        .computeIfAbsent(address, any -> new ArrayDeque<>());
+  }
+
+  private void connect(ClientExchange exchange, EventLoop loop) {
+    InetSocketAddress address = exchange.request().address();
+    ClientConnection connection = new ClientConnection(done -> release(done, loop, address));
+    ChannelFuture future =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec()).addLast(connection);
+                  }
+                })
+            .connect(address);
+    future.addListener(done -> onConnected(future.channel(), connection, exchange, done.cause()));
+  }
+
+  private static void onConnected(
+      Channel channel, ClientConnection connection, ClientExchange exchange, Throwable cause) {
+    if (cause != null) {
+      exchange.fail(
+          new HttpFailure(
+              HttpFailure.Kind.CONNECT_FAILED, false, "can't connect: " + cause.getMessage()));
+    } else if (exchange.isFinished()) {
+      channel.close();
+    } else {
+      connection.begin(exchange);
+    }
+  }
+
+  private void release(ClientConnection connection, EventLoop loop, InetSocketAddress address) {
+    Deque<ClientConnection> connections = idleConnections(loop, address);
+    if (connections.size() < MAX_IDLE_PER_ADDRESS) {
+      connections.addFirst(connection);
+    } else {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
@@ -0,0 +1,177 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * An HTTP/1.1 server over Netty's codec.
+ *
+ * <p>A connection's requests are handled one after the other, in the order in which they arrived.
+ * Headers and bodies over their limits and senders that are too slow are answered with an error and
+ * closed.
+ */
+public final class HttpServer implements AutoCloseable {
+  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+  private static final int ACCEPT_BACKLOG = 1_024;
+
+  private final Channel channel;
+  private final ChannelGroup connections;
+
+  private HttpServer(Channel channel, ChannelGroup connections) {
+    this.channel = channel;
+    this.connections = connections;
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the address that the server listens on, with the real port. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
+  /** Stops accepting connections; those that are open go on. */
+  public void stopAccepting() {
+    channel.close().awaitUninterruptibly();
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  /** Stops accepting and closes all connections. */
+  @Override
+  public void close() {
+    stopAccepting();
+    connections.close().awaitUninterruptibly();
+  }
+
+  /** Builds and starts a {@link HttpServer}. */
+  public static final class Builder {
+    private EventLoopGroup group;
+    private InetSocketAddress address;
+    private HttpHandler handler;
+    private int maxBodyBytes = 4 << 20;
+    private int maxHeaderBytes = 16 << 10;
+    private int requestTimeoutMs = 10_000;
+
+    private Builder() {}
+
+    /**
+     * Sets the event loops.
+     *
+     * @param group the loops that carry the connections
+     * @return this builder
+     */
+    public Builder group(EventLoopGroup group) {
+      this.group = group;
+      return this;
+    }
+
+    /**
+     * Sets where to listen.
+     *
+     * @param address the address; port 0 takes a free one
+     * @return this builder
+     */
+    public Builder address(InetSocketAddress address) {
+      this.address = address;
+      return this;
+    }
+
+    /**
+     * Sets who answers.
+     *
+     * @param handler the handler of all requests
+     * @return this builder
+     */
+    public Builder handler(HttpHandler handler) {
+      this.handler = handler;
+      return this;
+    }
+
+    /**
+     * Sets the largest body.
+     *
+     * @param maxBodyBytes bytes
+     * @return this builder
+     */
+    public Builder maxBodyBytes(int maxBodyBytes) {
+      this.maxBodyBytes = maxBodyBytes;
+      return this;
+    }
+
+    /**
+     * Sets the largest sum of headers.
+     *
+     * @param maxHeaderBytes bytes
+     * @return this builder
+     */
+    public Builder maxHeaderBytes(int maxHeaderBytes) {
+      this.maxHeaderBytes = maxHeaderBytes;
+      return this;
+    }
+
+    /**
+     * Sets the time within which a request must arrive whole, from its first byte.
+     *
+     * @param requestTimeoutMs milliseconds
+     * @return this builder
+     */
+    public Builder requestTimeoutMs(int requestTimeoutMs) {
+      this.requestTimeoutMs = requestTimeoutMs;
+      return this;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return the running server
+     * @throws io.netty.channel.ChannelException when the address can't be bound
+     */
+    public HttpServer start() {
+      Objects.requireNonNull(group, "group");
+      Objects.requireNonNull(handler, "handler");
+      ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+      HttpDecoderConfig config =
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+              .setMaxHeaderSize(maxHeaderBytes);
+      ServerBootstrap bootstrap =
+          new ServerBootstrap()
+              .group(group)
+              .channel(NioServerSocketChannel.class)
+              .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+              .option(ChannelOption.SO_REUSEADDR, true)
+              .childOption(ChannelOption.TCP_NODELAY, true)
+              .childHandler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                      connections.add(ch);
+                      ch.pipeline()
+                          .addLast(new HttpServerCodec(config))
+                          .addLast(new ServerConnection(handler, maxBodyBytes, requestTimeoutMs));
+                    }
+                  });
+      Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
+      return new HttpServer(channel, connections);
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
@@ -0,0 +1,202 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * The server's side of one connection: puts requests together, hands them to the handler one at a
+ * time, and answers requests that break a limit.
+ *
+ * <p>Invariant: at most one exchange is being answered; requests that arrive meanwhile wait in
+ * {@link #waiting}, at most {@link #MAX_PIPELINED} of them.
+ */
+final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private static final int MAX_PIPELINED = 16;
+
+  private final HttpHandler handler;
+  private final int maxBodyBytes;
+  private final int requestTimeoutMs;
+  private final Queue<ServerExchange> waiting = new ArrayDeque<>();
+  private HttpRequest head;
+  private CompositeByteBuf body;
+  private ScheduledFuture<?> requestTimer;
+  private ServerExchange current;
+  private boolean closing;
+
+  ServerConnection(HttpHandler handler, int maxBodyBytes, int requestTimeoutMs) {
+    this.handler = handler;
+    this.maxBodyBytes = maxBodyBytes;
+    this.requestTimeoutMs = requestTimeoutMs;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    if (closing) {
+      return;
+    }
+    if (message.decoderResult().isFailure()) {
+      refuseMalformed(ctx, message.decoderResult().cause());
+      return;
+    }
+    if (message instanceof HttpRequest request) {
+      begin(ctx, request);
+    }
+    if (message instanceof HttpContent content && head != null) {
+      append(ctx, content);
+    }
+  }
+
+  private void refuseMalformed(ChannelHandlerContext ctx, Throwable cause) {
+    boolean tooLarge = cause instanceof io.netty.handler.codec.TooLongFrameException;
+    if (tooLarge) {
+      refuse(ctx, 413, "too-large", "a header or the request line is larger than its limit");
+    } else {
+      refuse(ctx, 400, "invalid-request", "not an HTTP request");
+    }
+  }
+
+  private void begin(ChannelHandlerContext ctx, HttpRequest request) {
+    head = request;
+    body = ctx.alloc().compositeBuffer(Integer.MAX_VALUE);
+    requestTimer =
+        ctx.executor()
+            .schedule(() -> onRequestTimeout(ctx), requestTimeoutMs, TimeUnit.MILLISECONDS);
+    if (HttpUtil.is100ContinueExpected(request)) {
+      ctx.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private void append(ChannelHandlerContext ctx, HttpContent content) {
+    if (body.readableBytes() + content.content().readableBytes() > maxBodyBytes) {
+      refuse(ctx, 413, "too-large", "the body is larger than " + maxBodyBytes + " bytes");
+      return;
+    }
+    body.addComponent(true, content.content().retain());
+    if (content instanceof LastHttpContent) {
+      complete(ctx);
+    }
+  }
+
+  private void complete(ChannelHandlerContext ctx) {
+    requestTimer.cancel(false);
+    byte[] bytes = ByteBufUtil.getBytes(body);
+    ServerExchange exchange = new ServerExchange(this, ctx, head, bytes);
+    releaseRequest();
+    if (current == null) {
+      start(exchange);
+    } else if (waiting.size() < MAX_PIPELINED) {
+      waiting.add(exchange);
+    } else {
+      refuse(ctx, 429, "overloaded", "too many requests wait on the connection");
+    }
+  }
+
+  private void start(ServerExchange exchange) {
+    current = exchange;
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException e) {
+      System.getLogger(ServerConnection.class.getName())
+          .log(System.Logger.Level.ERROR, "handler-failed", e);
+      exchange.respond(error(500, "internal", "unknown", "the request could not be handled"));
+    }
+  }
+
+  /** Goes on with the next request, after the current one was answered whole. */
+  void onAnswered(ChannelHandlerContext ctx, boolean keepAlive) {
+    current = null;
+    if (!keepAlive) {
+      closing = true;
+      ctx.channel().close();
+      return;
+    }
+    ServerExchange next = waiting.poll();
+    if (next != null) {
+      start(next);
+    }
+  }
+
+  private void onRequestTimeout(ChannelHandlerContext ctx) {
+    if (head != null) {
+      refuse(ctx, 408, "request-timeout", "the request did not arrive whole in time");
+    }
+  }
+
+  private void refuse(ChannelHandlerContext ctx, int status, String code, String message) {
+    closing = true;
+    releaseRequest();
+    if (current != null) {
+      ctx.channel().close();
+      return;
+    }
+    HttpAnswer answer = error(status, code, "not-run", message);
+    ctx.writeAndFlush(ServerExchange.fullResponse(answer, false))
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private static HttpAnswer error(int status, String code, String outcome, String message) {
+    return HttpAnswer.json(
+        status,
+        Json.object()
+            .set(
+                "error",
+                Json.mapper()
+                    .valueToTree(Map.of("code", code, "outcome", outcome, "message", message))));
+  }
+
+  private void releaseRequest() {
+    head = null;
+    if (requestTimer != null) {
+      requestTimer.cancel(false);
+      requestTimer = null;
+    }
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    releaseRequest();
+    waiting.clear();
+    if (current != null) {
+      current.abandon();
+    }
+    ctx.fireChannelInactive();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (current != null && ctx.channel().isWritable()) {
+      current.onChannelWritable();
+    }
+    ctx.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerExchange.java
@@ -0,0 +1,215 @@
+package org.sycamoretrack.transport.connection;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/** One request on a {@link ServerConnection} and its answer. All state is confined to its loop. */
+final class ServerExchange implements HttpExchange, HttpStream {
+  private final ServerConnection connection;
+  private final ChannelHandlerContext ctx;
+  private final HttpRequest head;
+  private final byte[] body;
+  private final boolean keepAlive;
+  private boolean answered;
+  private boolean ended;
+  private boolean abandoned;
+  private Runnable abandonedAction;
+  private Runnable writableAction;
+
+  ServerExchange(
+      ServerConnection connection, ChannelHandlerContext ctx, HttpRequest head, byte[] body) {
+    this.connection = connection;
+    this.ctx = ctx;
+    this.head = head;
+    this.body = body;
+    this.keepAlive = HttpUtil.isKeepAlive(head);
+  }
+
+  @Override
+  public String method() {
+    return head.method().name();
+  }
+
+  @Override
+  public String path() {
+    String uri = head.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  @Override
+  public String target() {
+    return head.uri();
+  }
+
+  @Override
+  public String queryParam(String name) {
+    List<String> values = new QueryStringDecoder(head.uri()).parameters().get(name);
+    return values == null ? null : values.get(0);
+  }
+
+  @Override
+  public HttpHeaders headers() {
+    return head.headers();
+  }
+
+  @Override
+  public byte[] body() {
+    return body;
+  }
+
+  @Override
+  public EventLoop eventLoop() {
+    return ctx.channel().eventLoop();
+  }
+
+  @Override
+  public void respond(HttpAnswer answer) {
+    onLoop(() -> respondOnLoop(answer));
+  }
+
+  private void respondOnLoop(HttpAnswer answer) {
+    if (answered || abandoned) {
+      return;
+    }
+    answered = true;
+    ended = true;
+    ctx.writeAndFlush(fullResponse(answer, keepAlive))
+        .addListener(done -> connection.onAnswered(ctx, keepAlive && done.isSuccess()));
+  }
+
+  static FullHttpResponse fullResponse(HttpAnswer answer, boolean keepAlive) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answer.status()),
+            Unpooled.wrappedBuffer(answer.body()));
+    answer.headers().forEach(response.headers()::set);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+    if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return response;
+  }
+
+  @Override
+  public HttpStream startStream(int status, Map<String, String> headers) {
+    onLoop(() -> startOnLoop(status, headers));
+    return this;
+  }
+
+  private void startOnLoop(int status, Map<String, String> headers) {
+    if (answered || abandoned) {
+      return;
+    }
+    answered = true;
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    headers.forEach(response.headers()::set);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    ctx.writeAndFlush(response);
+  }
+
+  @Override
+  public void write(byte[] part) {
+    onLoop(
+        () -> {
+          if (!ended && !abandoned) {
+            ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
+          }
+        });
+  }
+
+  @Override
+  public void end() {
+    onLoop(
+        () -> {
+          if (!ended && !abandoned) {
+            ended = true;
+            ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(done -> connection.onAnswered(ctx, keepAlive && done.isSuccess()));
+          }
+        });
+  }
+
+  @Override
+  public void abort() {
+    onLoop(
+        () -> {
+          if (!ended) {
+            ctx.close();
+          }
+        });
+  }
+
+  @Override
+  public boolean isWritable() {
+    return ctx.channel().isWritable();
+  }
+
+  @Override
+  public void onWritable(Runnable action) {
+    onLoop(() -> writableAction = action);
+  }
+
+  @Override
+  public void onAbandoned(Runnable action) {
+    onLoop(
+        () -> {
+          if (abandoned) {
+            action.run();
+          } else {
+            abandonedAction = action;
+          }
+        });
+  }
+
+  /** Marks the exchange as given up by its caller. */
+  void abandon() {
+    if (ended || abandoned) {
+      return;
+    }
+    abandoned = true;
+    if (abandonedAction != null) {
+      abandonedAction.run();
+    }
+  }
+
+  /** Tells the sender that the receiver has caught up. */
+  void onChannelWritable() {
+    if (writableAction != null) {
+      writableAction.run();
+    }
+  }
+
+  private void onLoop(Runnable action) {
+    if (ctx.executor().inEventLoop()) {
+      action.run();
+    } else {
+      ctx.executor().execute(action);
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as one HTTP connection. */
+package org.sycamoretrack.transport.connection;
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/process/Json.java
@@ -0,0 +1,65 @@
+package org.sycamoretrack.transport.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** Reads and writes JSON with one shared, immutable mapper. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .build();
+
+  private Json() {}
+
+  /** Returns the shared mapper, which callers must not reconfigure. */
+  public static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /** Returns a new empty object. */
+  public static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  /**
+   * Writes a value as compact JSON in UTF-8.
+   *
+   * @param value a tree or an object that Jackson can write
+   * @return the bytes
+   */
+  public static byte[] bytes(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("value can't be written as JSON", e);
+    }
+  }
+
+  /**
+   * Parses bytes that must hold exactly one JSON value.
+   *
+   * @param bytes JSON in UTF-8
+   * @return the value
+   * @throws IllegalArgumentException when the bytes are not JSON; the message is one line
+   */
+  public static JsonNode parse(byte[] bytes) {
+    try {
+      JsonNode node = MAPPER.readTree(bytes);
+      if (node == null || node.isMissingNode()) {
+        throw new IllegalArgumentException("JSON is missing");
+      }
+      return node;
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("not JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as one HTTP request. */
+package org.sycamoretrack.transport.request;
--- /dev/null
+++ b/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
@@ -0,0 +1,196 @@
+package org.sycamoretrack.transport.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/**
+ * Tests of {@link HttpServer} and {@link HttpClient} against each other and against raw sockets.
+ */
+class HttpRoundTripTest {
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+  private EventLoopGroup group;
+  private HttpServer server;
+  private HttpClient client;
+  private final CountDownLatch abandoned = new CountDownLatch(1);
+
+  @BeforeEach
+  void start() {
+    group = EventLoops.start("test", 2);
+    server =
+        HttpServer.builder()
+            .group(group)
+            .address(ANY_PORT)
+            .handler(this::handle)
+            .maxBodyBytes(1_000)
+            .maxHeaderBytes(2_000)
+            .requestTimeoutMs(300)
+            .start();
+    client = new HttpClient(group, 1_000);
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    EventLoops.stop(group);
+  }
+
+  private void handle(HttpExchange exchange) {
+    switch (exchange.path()) {
+      case "/stream" -> {
+        HttpStream stream = exchange.startStream(200, Map.of());
+        stream.write("one ".getBytes(StandardCharsets.UTF_8));
+        stream.write("two".getBytes(StandardCharsets.UTF_8));
+        stream.end();
+      }
+      case "/abort" -> {
+        HttpStream stream = exchange.startStream(200, Map.of());
+        stream.write("one ".getBytes(StandardCharsets.UTF_8));
+        stream.abort();
+      }
+      case "/never" -> exchange.onAbandoned(abandoned::countDown);
+      case "/throw" -> throw new IllegalStateException("expected by the test");
+      default -> exchange.respond(new HttpAnswer(200, Map.of(), exchange.body()));
+    }
+  }
+
+  private HttpAnswer call(HttpRequest.Builder request) {
+    return client.call(request.build()).join();
+  }
+
+  private HttpRequest.Builder request(String target) {
+    return HttpRequest.builder("POST", server.address(), target);
+  }
+
+  @Test
+  void answersAndReusesItsConnection() {
+    for (int i = 0; i < 20; i++) {
+      byte[] body = ("body " + i).getBytes(StandardCharsets.UTF_8);
+      assertThat(call(request("/echo").body(body)).body()).isEqualTo(body);
+    }
+    assertThat(server.connectionCount()).isLessThanOrEqualTo(2);
+  }
+
+  @Test
+  void streams() {
+    assertThat(new String(call(request("/stream")).body(), StandardCharsets.UTF_8))
+        .isEqualTo("one two");
+  }
+
+  @Test
+  void handlerThatThrowsIsAnsweredWith500() {
+    assertThat(call(request("/throw")).status()).isEqualTo(500);
+  }
+
+  @Test
+  void abortedStreamIsAFailure() {
+    assertThatThrownBy(() -> call(request("/abort")))
+        .isInstanceOf(CompletionException.class)
+        .cause()
+        .isInstanceOfSatisfying(
+            HttpFailure.class,
+            failure -> assertThat(failure.kind()).isEqualTo(HttpFailure.Kind.CLOSED_EARLY));
+  }
+
+  @Test
+  void timeoutClosesTheConnection() throws InterruptedException {
+    assertThatThrownBy(() -> call(request("/never").timeoutMs(100)))
+        .cause()
+        .isInstanceOfSatisfying(
+            HttpFailure.class,
+            failure -> assertThat(failure.kind()).isEqualTo(HttpFailure.Kind.TIMED_OUT));
+    assertThat(abandoned.await(5, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  void noListenerMeansNotSent() {
+    InetSocketAddress address = server.address();
+    server.close();
+    assertThatThrownBy(() -> call(HttpRequest.builder("GET", address, "/")))
+        .cause()
+        .isInstanceOfSatisfying(
+            HttpFailure.class, failure -> assertThat(failure.maybeSent()).isFalse());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1000, 200", "1001, 413"})
+  void limitsTheBody(int bytes, int status) {
+    assertThat(call(request("/echo").body(new byte[bytes])).status()).isEqualTo(status);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\n\r\nplausible",
+        "HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "NOT HTTP AT ALL\r\n\r\n",
+        ""
+      })
+  void answerWithoutItsEndIsAFailure(String answer) throws Exception {
+    try (ServerSocket raw = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> answerRaw(raw, answer));
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), raw.getLocalPort());
+      assertThatThrownBy(() -> call(HttpRequest.builder("GET", address, "/")))
+          .cause()
+          .isInstanceOfSatisfying(
+              HttpFailure.class, failure -> assertThat(failure.maybeSent()).isTrue());
+    }
+  }
+
+  private static void answerRaw(ServerSocket raw, String answer) {
+    try (Socket socket = raw.accept()) {
+      byte[] request = new byte[1_000];
+      assertThat(socket.getInputStream().read(request)).isPositive();
+      socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          POST /echo HTTP/1.1\\r\\ncontent-length: 50\\r\\n\\r\\nslow     | 408
+          GARBAGE\\r\\n\\r\\n                                            | 400
+          GET / HTTP/1.1\\r\\nx-long: LONG\\r\\n\\r\\n                   | 413
+          """)
+  void badSendersAreAnsweredAndClosed(String text, int status) throws Exception {
+    String sent = text.replace("\\r", "\r").replace("\\n", "\n").replace("LONG", "x".repeat(3_000));
+    try (Socket socket = new Socket(server.address().getAddress(), server.address().getPort())) {
+      OutputStream out = socket.getOutputStream();
+      out.write(sent.getBytes(StandardCharsets.UTF_8));
+      InputStream in = socket.getInputStream();
+      String answer = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 " + status);
+    }
+  }
+}
