--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/InboundPeer.java
@@ -0,0 +1,80 @@
+package org.sycamoretrack.daemon.connection;
+
+/**
+ * A connection that a peer dialled. It brings the peer's messages; nothing but heartbeat answers
+ * goes back on it.
+ */
+final class InboundPeer extends PeerChannel {
+  private static final int SILENT_INTERVALS = 3;
+  private static final long HANDSHAKE_TIMEOUT_MS = 3_000;
+
+  private byte[] nonce;
+  private volatile PeerIdentity peer;
+  private volatile long timeoutMs = HANDSHAKE_TIMEOUT_MS;
+
+  InboundPeer(PeerLink link) {
+    super(link);
+  }
+
+  /** Closes the connection when the peer has been silent for too long. */
+  void checkSilence() {
+    if (silentMs() > timeoutMs) {
+      link.stats().connectionsTimedOut.increment();
+      close();
+    }
+  }
+
+  @Override
+  void onOpen() {
+    link.onInboundOpen(this);
+    nonce = link.proof().newNonce();
+    write(new Handshake.Challenge(nonce));
+  }
+
+  @Override
+  void onMessage(PeerMessage message) {
+    switch (message) {
+      case Handshake.Hello hello when peer == null -> onHello(hello);
+      case Handshake.Heartbeat heartbeat when peer != null -> onHeartbeat(heartbeat);
+      case Handshake other ->
+          throw new MalformedFrameException("unexpected " + other.type() + " from a dialler");
+      default -> {
+        if (peer == null) {
+          throw new MalformedFrameException("a message came before the handshake");
+        }
+        link.dispatch(peer.nodeId(), message);
+      }
+    }
+  }
+
+  private void onHello(Handshake.Hello hello) {
+    if (!link.proof()
+        .verify(PeerProof.Role.DIALLER, nonce, hello.nonce(), hello.identity(), hello.proof())) {
+      link.stats().proofsRefused.increment();
+      close();
+      return;
+    }
+    PeerIdentity self = link.identity();
+    byte[] proof = link.proof().prove(PeerProof.Role.ACCEPTOR, nonce, hello.nonce(), self);
+    write(new Handshake.Welcome(self, proof));
+    if (hello.identity().nodeId().equals(self.nodeId())) {
+      return;
+    }
+    timeoutMs = SILENT_INTERVALS * PeerLink.HEARTBEAT_MS;
+    endHandshake();
+    peer = hello.identity();
+    link.onInboundReady(this, peer);
+  }
+
+  private void onHeartbeat(Handshake.Heartbeat heartbeat) {
+    timeoutMs =
+        SILENT_INTERVALS
+            * Math.clamp(heartbeat.intervalMs(), PeerLink.HEARTBEAT_MS, PeerLink.MAX_HEARTBEAT_MS);
+    write(new Handshake.HeartbeatAck());
+  }
+
+  @Override
+  void onClosed() {
+    link.onInboundClosed(this, peer);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/OutboundPeer.java
@@ -0,0 +1,155 @@
+package org.sycamoretrack.daemon.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
+
+/**
+ * One connection that this node dialled, from the attempt to its end. All messages to the peer go
+ * out on it.
+ *
+ * <p>Senders encode on their own threads and put the frames into a queue; the first one since the
+ * last flush wakes the event loop, which writes all that is queued and flushes once. The queue and
+ * the channel's buffer are bounded by bytes.
+ */
+final class OutboundPeer extends PeerChannel {
+  private static final int SILENT_INTERVALS = 3;
+
+  private final InetSocketAddress address;
+  private final ManyToOneConcurrentLinkedQueue<ByteBuf> queue =
+      new ManyToOneConcurrentLinkedQueue<>();
+  private final AtomicLong queuedBytes = new AtomicLong();
+  private final AtomicBoolean flushScheduled = new AtomicBoolean();
+  private byte[] acceptorNonce;
+  private byte[] nonce;
+  private volatile PeerIdentity peer;
+  private long lastHeartbeatNanos;
+
+  OutboundPeer(PeerLink link, InetSocketAddress address) {
+    super(link);
+    this.address = address;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Returns whom the connection leads to, or null while the handshake has not ended. */
+  PeerIdentity peer() {
+    return peer;
+  }
+
+  boolean isWritable() {
+    Channel open = channel();
+    return peer != null
+        && open.isActive()
+        && open.isWritable()
+        && queuedBytes.get() < link.maxQueuedBytes();
+  }
+
+  /** Queues a message. May be called from any thread. */
+  boolean send(PeerMessage message) {
+    if (!isWritable()) {
+      return false;
+    }
+    Channel open = channel();
+    ByteBuf frame = link.codec().encode(open.alloc(), message);
+    queuedBytes.addAndGet(frame.readableBytes());
+    queue.offer(frame);
+    if (flushScheduled.compareAndSet(false, true)) {
+      open.eventLoop().execute(this::flushQueue);
+    }
+    return true;
+  }
+
+  private void flushQueue() {
+    flushScheduled.set(false);
+    Channel open = channel();
+    ByteBuf frame;
+    while ((frame = queue.poll()) != null) {
+      int bytes = frame.readableBytes();
+      queuedBytes.addAndGet(-bytes);
+      link.stats().framesSent.increment();
+      link.stats().bytesSent.add(bytes);
+      open.write(frame, open.voidPromise());
+    }
+    open.flush();
+  }
+
+  /** Sends a heartbeat when one is due, and closes the connection when none was answered. */
+  void beat(long nowNanos, long intervalMs) {
+    if (peer == null) {
+      return;
+    }
+    if (silentMs() > SILENT_INTERVALS * intervalMs) {
+      link.stats().connectionsTimedOut.increment();
+      close();
+    } else if (nowNanos - lastHeartbeatNanos >= intervalMs * 1_000_000L) {
+      lastHeartbeatNanos = nowNanos;
+      write(new Handshake.Heartbeat(intervalMs));
+    }
+  }
+
+  @Override
+  void onOpen() {
+    nonce = link.proof().newNonce();
+  }
+
+  @Override
+  void onMessage(PeerMessage message) {
+    switch (message) {
+      case Handshake.Challenge challenge when acceptorNonce == null -> onChallenge(challenge);
+      case Handshake.Welcome welcome when acceptorNonce != null && peer == null ->
+          onWelcome(welcome);
+      case Handshake.HeartbeatAck ack -> {
+        // Its arrival was noted already.
+      }
+      default ->
+          throw new MalformedFrameException("unexpected " + message.type() + " from an acceptor");
+    }
+  }
+
+  private void onChallenge(Handshake.Challenge challenge) {
+    acceptorNonce = challenge.nonce();
+    PeerIdentity self = link.identity();
+    byte[] proof = link.proof().prove(PeerProof.Role.DIALLER, acceptorNonce, nonce, self);
+    write(new Handshake.Hello(self, nonce, proof));
+  }
+
+  private void onWelcome(Handshake.Welcome welcome) {
+    if (!link.proof()
+        .verify(
+            PeerProof.Role.ACCEPTOR, acceptorNonce, nonce, welcome.identity(), welcome.proof())) {
+      link.stats().proofsRefused.increment();
+      close();
+      return;
+    }
+    if (link.claimOutbound(this, welcome.identity())) {
+      endHandshake();
+      peer = welcome.identity();
+      link.onOutboundReady(peer);
+    } else {
+      close();
+    }
+  }
+
+  @Override
+  void onClosed() {
+    link.onOutboundClosed(this, peer);
+    PeerIdentity lost = peer;
+    peer = null;
+    if (lost != null) {
+      releaseQueue();
+    }
+  }
+
+  private void releaseQueue() {
+    ByteBuf frame;
+    while ((frame = queue.poll()) != null) {
+      frame.release();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerLink.java
@@ -0,0 +1,461 @@
+package org.sycamoretrack.daemon.connection;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * The connections between this node and its peers.
+ *
+ * <p>A pair of nodes has two connections, one for each direction: a node sends on the connection
+ * that it dialled and receives on the one that the peer dialled. So no rule is needed for which of
+ * two connections wins, and a broken direction is seen by the side that has to dial again.
+ *
+ * <p>An address once given to {@link #dial} is dialled until {@link #forget}, with backoff. When
+ * either direction of a pair breaks, {@link #onDisconnected} tells, since messages of either node
+ * may have been lost. Heartbeats are sent each second; with more than {@value
+ * #MAX_BEATS_PER_SECOND} peers the interval grows, so that their number a second stays bounded.
+ *
+ * <p>Invariant: {@link #send} never blocks. What it accepted arrives in order or the peer is
+ * reported as disconnected.
+ *
+ * <p>Example: a dials b. b sends a challenge, a its hello, b its welcome; now {@code a.send("b",
+ * message)} is accepted. At the same time b dials a, for the messages that go the other way.
+ */
+public final class PeerLink implements AutoCloseable {
+  static final long HEARTBEAT_MS = 1_000;
+  static final long MAX_HEARTBEAT_MS = 30_000;
+  private static final int MAX_BEATS_PER_SECOND = 32;
+  private static final long SWEEP_MS = 250;
+  private static final int CONNECT_TIMEOUT_MS = 2_000;
+  private static final System.Logger LOGGER = System.getLogger(PeerLink.class.getName());
+
+  private final EventLoopGroup group;
+  private final Supplier<PeerIdentity> identity;
+  private final PeerProof proof;
+  private final int maxFrameBytes;
+  private final int maxQueuedBytes;
+  private final RandomGenerator random;
+  private final PeerCodec codec = new PeerCodec();
+  private final PeerLinkStats stats = new PeerLinkStats();
+  private final Map<String, PeerHandler<PeerMessage>> handlers = new ConcurrentHashMap<>();
+  private final List<Consumer<PeerIdentity>> connectedListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<PeerIdentity>> introducedListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<String>> disconnectedListeners = new CopyOnWriteArrayList<>();
+  private final Map<InetSocketAddress, PeerTarget> targets = new ConcurrentHashMap<>();
+  private final Map<String, OutboundPeer> outbound = new ConcurrentHashMap<>();
+  private final Map<String, InboundPeer> inbound = new ConcurrentHashMap<>();
+  private final Set<InboundPeer> accepted = ConcurrentHashMap.newKeySet();
+  private final Channel server;
+  private final ScheduledFuture<?> sweep;
+  private volatile boolean closed;
+
+  private PeerLink(Builder builder) {
+    this.group = Objects.requireNonNull(builder.group, "group");
+    this.identity = Objects.requireNonNull(builder.identity, "identity");
+    this.proof = new PeerProof(builder.key);
+    this.maxFrameBytes = builder.maxFrameBytes;
+    this.maxQueuedBytes = builder.maxQueuedBytes;
+    this.random = builder.random;
+    Handshake.register(codec);
+    this.server = listen(builder.address);
+    this.sweep =
+        group.next().scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  private Channel listen(InetSocketAddress address) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                new InboundPeer(PeerLink.this).addTo(ch.pipeline());
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /** Returns the address that peers dial, with the real port. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.localAddress();
+  }
+
+  /** Returns the counters. */
+  public PeerLinkStats stats() {
+    return stats;
+  }
+
+  /**
+   * Registers a type of message and who receives it. Call it before peers are dialled.
+   *
+   * @param type the type
+   * @param decoder makes a message from its fields; throws {@link MalformedFrameException}
+   * @param handler receives the messages
+   * @param <T> the class of the messages
+   */
+  public <T extends PeerMessage> void onMessage(
+      String type, Function<FieldReader, T> decoder, PeerHandler<? super T> handler) {
+    @SuppressWarnings("unchecked")
+    PeerHandler<PeerMessage> untyped =
+        (from, message) -> ((PeerHandler<PeerMessage>) handler).onMessage(from, message);
+    handlers.put(type, untyped);
+    codec.register(type, decoder);
+  }
+
+  /**
+   * Adds a listener that is told when messages can be sent to a peer.
+   *
+   * @param listener called on an event loop
+   */
+  public void onConnected(Consumer<PeerIdentity> listener) {
+    connectedListeners.add(listener);
+  }
+
+  /**
+   * Adds a listener that is told who dialled this node.
+   *
+   * @param listener called on an event loop
+   */
+  public void onIntroduced(Consumer<PeerIdentity> listener) {
+    introducedListeners.add(listener);
+  }
+
+  /**
+   * Adds a listener that is told when a connection from or to a peer broke, so that messages in
+   * either direction may have been lost. It may be told twice for one peer.
+   *
+   * @param listener called on an event loop with the peer's node id
+   */
+  public void onDisconnected(Consumer<String> listener) {
+    disconnectedListeners.add(listener);
+  }
+
+  /**
+   * Keeps a connection to an address from now on. Does nothing when it does so already.
+   *
+   * @param address where a peer accepts connections
+   */
+  public void dial(InetSocketAddress address) {
+    PeerTarget target = new PeerTarget(address);
+    if (!closed && targets.putIfAbsent(address, target) == null) {
+      connect(target);
+    }
+  }
+
+  /**
+   * Closes the connection to an address and dials it no more.
+   *
+   * @param address the address
+   */
+  public void forget(InetSocketAddress address) {
+    PeerTarget target = targets.remove(address);
+    if (target != null) {
+      target.forget();
+    }
+  }
+
+  /** Returns the addresses that are dialled. */
+  public Set<InetSocketAddress> dialled() {
+    return Set.copyOf(targets.keySet());
+  }
+
+  /**
+   * Sends a message. May be called from any thread and never blocks.
+   *
+   * @param nodeId the receiver
+   * @param message the message
+   * @return false when it was not sent: there is no connection, or its buffer is full
+   */
+  public boolean send(String nodeId, PeerMessage message) {
+    OutboundPeer peer = outbound.get(nodeId);
+    if (peer != null && peer.send(message)) {
+      return true;
+    }
+    stats.sendsRefused.increment();
+    return false;
+  }
+
+  /**
+   * Returns whether {@link #send} would accept a message now.
+   *
+   * @param nodeId the receiver
+   */
+  public boolean isWritable(String nodeId) {
+    OutboundPeer peer = outbound.get(nodeId);
+    return peer != null && peer.isWritable();
+  }
+
+  /** Returns the ids of the nodes that messages can be sent to. */
+  public Set<String> connectedPeers() {
+    return Set.copyOf(outbound.keySet());
+  }
+
+  private void connect(PeerTarget target) {
+    if (closed || target.isForgotten()) {
+      return;
+    }
+    OutboundPeer peer = new OutboundPeer(this, target.address());
+    target.attempt(peer);
+    ChannelFuture future =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(maxQueuedBytes / 2, maxQueuedBytes))
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    peer.addTo(ch.pipeline());
+                  }
+                })
+            .connect(target.address());
+    future.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            scheduleConnect(target);
+          }
+        });
+  }
+
+  private void scheduleConnect(PeerTarget target) {
+    if (!closed && !target.isForgotten()) {
+      long waitMs = target.nextWaitMs(random);
+      group.next().schedule(() -> connect(target), waitMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void sweep() {
+    long nowNanos = System.nanoTime();
+    long intervalMs =
+        Math.clamp(outbound.size() * 1_000L / MAX_BEATS_PER_SECOND, HEARTBEAT_MS, MAX_HEARTBEAT_MS);
+    outbound.values().forEach(peer -> peer.beat(nowNanos, intervalMs));
+    accepted.forEach(InboundPeer::checkSilence);
+  }
+
+  int maxFrameBytes() {
+    return maxFrameBytes;
+  }
+
+  int maxQueuedBytes() {
+    return maxQueuedBytes;
+  }
+
+  PeerCodec codec() {
+    return codec;
+  }
+
+  PeerProof proof() {
+    return proof;
+  }
+
+  PeerIdentity identity() {
+    return identity.get();
+  }
+
+  void onInboundOpen(InboundPeer peer) {
+    accepted.add(peer);
+    if (closed) {
+      peer.close();
+    }
+  }
+
+  void onInboundReady(InboundPeer connection, PeerIdentity peer) {
+    InboundPeer replaced = inbound.put(peer.nodeId(), connection);
+    if (replaced != null) {
+      replaced.close();
+    }
+    introducedListeners.forEach(listener -> listener.accept(peer));
+  }
+
+  void onInboundClosed(InboundPeer connection, PeerIdentity peer) {
+    accepted.remove(connection);
+    if (peer != null) {
+      inbound.remove(peer.nodeId(), connection);
+      disconnectedListeners.forEach(listener -> listener.accept(peer.nodeId()));
+    }
+  }
+
+  /** Returns whether a new connection is the one to its peer: not to itself, and the only one. */
+  boolean claimOutbound(OutboundPeer connection, PeerIdentity peer) {
+    if (peer.nodeId().equals(identity().nodeId())) {
+      forget(connection.address());
+      return false;
+    }
+    OutboundPeer other = outbound.putIfAbsent(peer.nodeId(), connection);
+    return other == null;
+  }
+
+  void onOutboundReady(PeerIdentity peer) {
+    connectedListeners.forEach(listener -> listener.accept(peer));
+  }
+
+  void onOutboundClosed(OutboundPeer connection, PeerIdentity peer) {
+    PeerTarget target = targets.get(connection.address());
+    if (peer != null && outbound.remove(peer.nodeId(), connection)) {
+      if (target != null) {
+        target.succeed();
+      }
+      disconnectedListeners.forEach(listener -> listener.accept(peer.nodeId()));
+    }
+    if (target != null) {
+      scheduleConnect(target);
+    }
+  }
+
+  void dispatch(String fromNodeId, PeerMessage message) {
+    try {
+      handlers.get(message.type()).onMessage(fromNodeId, message);
+    } catch (MalformedFrameException e) {
+      throw e;
+    } catch (RuntimeException e) {
+      stats.handlerFailures.increment();
+      LOGGER.log(System.Logger.Level.ERROR, "peer-handler-failed " + message.type(), e);
+    }
+  }
+
+  /** Closes all connections and accepts no more. */
+  @Override
+  public void close() {
+    closed = true;
+    sweep.cancel(false);
+    server.close().awaitUninterruptibly();
+    targets.values().forEach(PeerTarget::forget);
+    accepted.forEach(InboundPeer::close);
+  }
+
+  /** Builds and starts a {@link PeerLink}. */
+  public static final class Builder {
+    private EventLoopGroup group;
+    private InetSocketAddress address;
+    private Supplier<PeerIdentity> identity;
+    private byte[] key;
+    private int maxFrameBytes = 4 << 20;
+    private int maxQueuedBytes = 4 << 20;
+    private RandomGenerator random = RandomGenerator.getDefault();
+
+    private Builder() {}
+
+    /**
+     * Sets the event loops.
+     *
+     * @param group the loops that carry the connections
+     * @return this builder
+     */
+    public Builder group(EventLoopGroup group) {
+      this.group = group;
+      return this;
+    }
+
+    /**
+     * Sets where peers are accepted.
+     *
+     * @param address the address; port 0 takes a free one
+     * @return this builder
+     */
+    public Builder address(InetSocketAddress address) {
+      this.address = address;
+      return this;
+    }
+
+    /**
+     * Sets what this node says of itself.
+     *
+     * @param identity asked in each handshake, so that the epoch may rise
+     * @return this builder
+     */
+    public Builder identity(Supplier<PeerIdentity> identity) {
+      this.identity = identity;
+      return this;
+    }
+
+    /**
+     * Sets the key that all nodes share.
+     *
+     * @param key the key, or null when peers need no proof
+     * @return this builder
+     */
+    public Builder key(byte[] key) {
+      this.key = key == null ? null : key.clone();
+      return this;
+    }
+
+    /**
+     * Sets the largest frame that is accepted.
+     *
+     * @param maxFrameBytes bytes without the length
+     * @return this builder
+     */
+    public Builder maxFrameBytes(int maxFrameBytes) {
+      this.maxFrameBytes = maxFrameBytes;
+      return this;
+    }
+
+    /**
+     * Sets how much may wait for each peer before sends are refused.
+     *
+     * @param maxQueuedBytes bytes
+     * @return this builder
+     */
+    public Builder maxQueuedBytes(int maxQueuedBytes) {
+      this.maxQueuedBytes = maxQueuedBytes;
+      return this;
+    }
+
+    /**
+     * Sets the source of jitter.
+     *
+     * @param random may be called from several threads
+     * @return this builder
+     */
+    public Builder random(RandomGenerator random) {
+      this.random = random;
+      return this;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return the running link
+     * @throws io.netty.channel.ChannelException when the address can't be bound
+     */
+    public PeerLink start() {
+      return new PeerLink(this);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerProof.java
@@ -0,0 +1,70 @@
+package org.sycamoretrack.daemon.connection;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Proves and checks that a peer has the shared key, without sending it.
+ *
+ * <p>A proof is an HMAC-SHA256 over the role of the prover, both nonces and the prover's identity.
+ * The role keeps a proof from being reflected, and the nonces keep it from being replayed. Without
+ * a key, proofs are empty and every peer is accepted.
+ */
+final class PeerProof {
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int NONCE_BYTES = 16;
+  private static final byte[] NO_PROOF = {};
+
+  private final SecretKeySpec key;
+  private final SecureRandom random = new SecureRandom();
+
+  PeerProof(byte[] key) {
+    this.key = key == null ? null : new SecretKeySpec(key, ALGORITHM);
+  }
+
+  /** The side of the connection that proves. */
+  enum Role {
+    DIALLER,
+    ACCEPTOR
+  }
+
+  byte[] newNonce() {
+    byte[] nonce = new byte[NONCE_BYTES];
+    random.nextBytes(nonce);
+    return nonce;
+  }
+
+  byte[] prove(Role role, byte[] acceptorNonce, byte[] diallerNonce, PeerIdentity identity) {
+    if (key == null) {
+      return NO_PROOF;
+    }
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(key);
+      update(mac, role.name().getBytes(StandardCharsets.UTF_8));
+      update(mac, acceptorNonce);
+      update(mac, diallerNonce);
+      update(mac, identity.toString().getBytes(StandardCharsets.UTF_8));
+      return mac.doFinal();
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("the platform has no " + ALGORITHM, e);
+    }
+  }
+
+  boolean verify(
+      Role role, byte[] acceptorNonce, byte[] diallerNonce, PeerIdentity identity, byte[] proof) {
+    byte[] expected = prove(role, acceptorNonce, diallerNonce, identity);
+    return key == null || MessageDigest.isEqual(expected, proof);
+  }
+
+  /** Adds a part with its length, so that parts can't be shifted against each other. */
+  private static void update(Mac mac, byte[] part) {
+    mac.update((byte) (part.length >>> 8));
+    mac.update((byte) part.length);
+    mac.update(part);
+  }
+}
