Add the stand-ins for platform, engine and plain service

Each has one fault switch, set in process or over HTTP.

What an engine generates is a function of prompt and seed alone, so that a resumed answer can be compared with the unbroken one. One event loop confines an engine; several engines can share it. Sockets are bound and closed on a thread of their own, since both wait.

HttpExchange gains abort(), which its one implementation had already: an outage and a lost answer close the connection without a status line.

--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/connection/FaultyExchange.java
@@ -0,0 +1,227 @@
+package org.sycamoretrack.standins.connection;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.sycamoretrack.standins.process.Fault;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/**
+ * An exchange whose handler works as usual while its answer is watched, replaced or spoilt on the
+ * way out. Requests therefore take effect whatever becomes of their answers.
+ */
+public final class FaultyExchange implements HttpExchange {
+  private static final byte[] FILLING = filling();
+  private static final byte[] MALFORMED = "{\"broken\": [".getBytes(StandardCharsets.UTF_8);
+
+  private final HttpExchange exchange;
+  private final Fault fault;
+  private final HttpAnswer replacement;
+  private final Consumer<HttpAnswer> observer;
+
+  private FaultyExchange(
+      HttpExchange exchange, Fault fault, HttpAnswer replacement, Consumer<HttpAnswer> observer) {
+    this.exchange = exchange;
+    this.fault = fault;
+    this.replacement = replacement;
+    this.observer = observer;
+  }
+
+  /**
+   * Spoils the answer.
+   *
+   * @param exchange the request
+   * @param fault how
+   */
+  public static HttpExchange broken(HttpExchange exchange, Fault fault) {
+    return new FaultyExchange(exchange, fault, null, null);
+  }
+
+  /**
+   * Replaces the answer.
+   *
+   * @param exchange the request
+   * @param replacement the answer that is given, or null to give the true one
+   */
+  public static HttpExchange stale(HttpExchange exchange, HttpAnswer replacement) {
+    return new FaultyExchange(exchange, null, replacement, null);
+  }
+
+  /**
+   * Watches the answer.
+   *
+   * @param exchange the request
+   * @param observer is told the answer
+   */
+  public static HttpExchange remembering(HttpExchange exchange, Consumer<HttpAnswer> observer) {
+    return new FaultyExchange(exchange, null, null, observer);
+  }
+
+  @Override
+  public void respond(HttpAnswer answer) {
+    if (observer != null) {
+      observer.accept(answer);
+    }
+    if (fault == null) {
+      exchange.respond(replacement == null ? answer : replacement);
+      return;
+    }
+    switch (fault.kind()) {
+      case LOST_ANSWER -> exchange.abort();
+      case STALLED -> {
+        // No byte is sent and the connection stays open.
+      }
+      case REORDERED ->
+          eventLoop()
+              .schedule(() -> exchange.respond(answer), fault.delayMs(), TimeUnit.MILLISECONDS);
+      case CUT_OFF -> {
+        HttpStream stream = exchange.startStream(answer.status(), answer.headers());
+        stream.write(Arrays.copyOf(answer.body(), answer.body().length / 2));
+        stream.abort();
+      }
+      case TRUNCATED, MALFORMED ->
+          exchange.respond(new HttpAnswer(answer.status(), answer.headers(), MALFORMED));
+      case OVERSIZED -> {
+        HttpStream stream = exchange.startStream(answer.status(), answer.headers());
+        stream.write(answer.body());
+        fill(stream);
+        stream.end();
+      }
+      default -> exchange.respond(answer);
+    }
+  }
+
+  private static byte[] filling() {
+    byte[] bytes = new byte[1 << 16];
+    Arrays.fill(bytes, (byte) ' ');
+    return bytes;
+  }
+
+  private void fill(HttpStream stream) {
+    for (int sent = 0; sent < fault.sizeBytes(); sent += FILLING.length) {
+      stream.write(FILLING);
+    }
+  }
+
+  @Override
+  public HttpStream startStream(int status, Map<String, String> headers) {
+    HttpStream stream = exchange.startStream(status, headers);
+    return fault == null ? stream : new FaultyStream(stream);
+  }
+
+  /** A stream that passes some chunks and is then spoilt. */
+  private final class FaultyStream implements HttpStream {
+    private final HttpStream stream;
+    private int chunks;
+
+    FaultyStream(HttpStream stream) {
+      this.stream = stream;
+    }
+
+    @Override
+    public void write(byte[] part) {
+      chunks++;
+      if (chunks <= fault.afterChunks()) {
+        stream.write(part);
+      } else if (chunks == fault.afterChunks() + 1) {
+        spoil(part);
+      }
+    }
+
+    private void spoil(byte[] part) {
+      switch (fault.kind()) {
+        case LOST_ANSWER, CUT_OFF -> stream.abort();
+        case TRUNCATED -> stream.end();
+        case MALFORMED -> {
+          stream.write("data: ".getBytes(StandardCharsets.UTF_8));
+          stream.write(MALFORMED);
+          stream.write("\n\n".getBytes(StandardCharsets.UTF_8));
+          stream.end();
+        }
+        case OVERSIZED -> {
+          stream.write("data: ".getBytes(StandardCharsets.UTF_8));
+          fill(stream);
+          stream.write(part);
+          stream.end();
+        }
+        default -> {
+          // No more bytes are sent and the connection stays open.
+        }
+      }
+    }
+
+    @Override
+    public void end() {
+      if (chunks <= fault.afterChunks()) {
+        chunks = fault.afterChunks() + 1;
+        spoil(new byte[0]);
+      }
+    }
+
+    @Override
+    public void abort() {
+      stream.abort();
+    }
+
+    @Override
+    public boolean isWritable() {
+      return stream.isWritable();
+    }
+
+    @Override
+    public void onWritable(Runnable action) {
+      stream.onWritable(action);
+    }
+  }
+
+  @Override
+  public String method() {
+    return exchange.method();
+  }
+
+  @Override
+  public String path() {
+    return exchange.path();
+  }
+
+  @Override
+  public String target() {
+    return exchange.target();
+  }
+
+  @Override
+  public String queryParam(String name) {
+    return exchange.queryParam(name);
+  }
+
+  @Override
+  public HttpHeaders headers() {
+    return exchange.headers();
+  }
+
+  @Override
+  public byte[] body() {
+    return exchange.body();
+  }
+
+  @Override
+  public EventLoop eventLoop() {
+    return exchange.eventLoop();
+  }
+
+  @Override
+  public void onAbandoned(Runnable action) {
+    exchange.onAbandoned(action);
+  }
+
+  @Override
+  public void abort() {
+    exchange.abort();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/connection/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a connection. */
+package org.sycamoretrack.standins.connection;
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/EngineStandin.java
@@ -0,0 +1,303 @@
+package org.sycamoretrack.standins.process;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.standins.connection.PrefixCache;
+import org.sycamoretrack.standins.request.CompletionRequest;
+import org.sycamoretrack.standins.request.EngineJournal;
+import org.sycamoretrack.standins.request.Generation;
+import org.sycamoretrack.standins.request.TokenStream;
+import org.sycamoretrack.standins.version.EngineWeights;
+import org.sycamoretrack.transport.connection.EventLoops;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/**
+ * One model engine.
+ *
+ * <p>All its state is confined to one event loop; several engines can share a loop. Starting,
+ * crashing and restarting bind and close sockets, which waits, and therefore happen on a thread of
+ * their own. A crash closes all connections, forgets the cache and goes back to the first weight
+ * version; the journal, the orders and the highest fencing number outlive it.
+ *
+ * <p>Besides the protocol of engines it answers {@code GET /journal?after=N} with the streams that
+ * it ran, {@code GET /orders}, {@code GET /statistics}, {@code POST /crash} with {@code
+ * {"restartAfterMs"}} (-1 to stay down), {@code PUT /leaving} with {@code {"leaving"}}, and {@code
+ * /faults} as {@link Faults} says.
+ */
+public final class EngineStandin implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int MAX_BODY_BYTES = 4 << 20;
+  private static final ScheduledExecutorService LIFECYCLE =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().name("engine-lifecycle").daemon().factory());
+  private static final Map<String, String> STREAM_HEADERS =
+      Map.of("content-type", "text/event-stream");
+
+  private final EventLoopGroup group;
+  private final boolean ownsGroup;
+  private final EventLoop loop;
+  private final EngineSettings settings;
+  private final Faults faults;
+  private final EngineJournal journal = new EngineJournal();
+  private final PrefixCache cache;
+  private final EngineWeights weights;
+  private final LoadReport loadReport;
+  private final InetSocketAddress address;
+  private volatile HttpServer server;
+  private Batch batch;
+  private boolean leaving;
+  private long crashes;
+  private boolean closed;
+
+  /**
+   * Starts an engine with an event loop of its own.
+   *
+   * @param port where it listens on the loopback address, 0 for a free port
+   * @param settings how it behaves
+   */
+  public static EngineStandin start(int port, EngineSettings settings) {
+    return new EngineStandin(EventLoops.start("engine", 1), true, port, settings);
+  }
+
+  /**
+   * Starts an engine on shared event loops.
+   *
+   * @param group the loops, which are not stopped with the engine
+   * @param port where it listens on the loopback address, 0 for a free port
+   * @param settings how it behaves
+   */
+  public static EngineStandin start(EventLoopGroup group, int port, EngineSettings settings) {
+    return new EngineStandin(group, false, port, settings);
+  }
+
+  private EngineStandin(
+      EventLoopGroup group, boolean ownsGroup, int port, EngineSettings settings) {
+    this.group = group;
+    this.ownsGroup = ownsGroup;
+    this.loop = group.next();
+    this.settings = settings;
+    this.faults = new Faults(settings.seed());
+    this.cache = new PrefixCache(settings.cacheBlocks(), settings.reportLagMs());
+    this.weights =
+        new EngineWeights(
+            loop,
+            new HttpClient(group, CONNECT_TIMEOUT_MS),
+            faults,
+            new EngineWeights.Source(
+                settings.weightStore(),
+                settings.model(),
+                settings.initialVersion(),
+                settings.loadTimeMs(),
+                settings.checksFence()));
+    this.loadReport = new LoadReport(settings.reportLagMs());
+    this.batch = newBatch();
+    this.server = listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    this.address = server.address();
+  }
+
+  private Batch newBatch() {
+    return new Batch(loop, settings, cache, weights, faults, this::crashOnPoison);
+  }
+
+  private HttpServer listen(InetSocketAddress where) {
+    return HttpServer.builder()
+        .group(group)
+        .address(where)
+        .maxBodyBytes(MAX_BODY_BYTES)
+        .handler(faults.wrap(exchange -> onLoop(() -> handle(exchange))))
+        .start();
+  }
+
+  private void onLoop(Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+
+  /** Returns where the engine listens. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Returns the fault switch. */
+  public Faults faults() {
+    return faults;
+  }
+
+  /** Returns the streams that the engine ran. */
+  public EngineJournal journal() {
+    return journal;
+  }
+
+  private void handle(HttpExchange exchange) {
+    String[] segments = Answers.segments(exchange.path());
+    switch (segments[0]) {
+      case "v1" -> handleRequest(exchange, segments);
+      case "load" -> exchange.respond(loadReport.report(load()));
+      case "weights" -> exchange.respond(weights.report());
+      case "orders" ->
+          exchange.respond(
+              exchange.method().equals("POST")
+                  ? weights.order(Answers.body(exchange))
+                  : weights.orders());
+      case "cache-events" -> exchange.respond(events("events", cache.events(after(exchange))));
+      case "journal" -> exchange.respond(events("entries", journal.toJson(after(exchange))));
+      case "statistics" -> exchange.respond(HttpAnswer.json(200, statistics()));
+      case "crash" -> crashOnRequest(exchange);
+      case "leaving" -> {
+        leaving = Answers.body(exchange).path("leaving").asBoolean();
+        exchange.respond(HttpAnswer.json(200, Map.of("leaving", leaving)));
+      }
+      default -> exchange.respond(Answers.error(404, "not-found", "no such path"));
+    }
+  }
+
+  private static long after(HttpExchange exchange) {
+    String after = exchange.queryParam("after");
+    return after == null ? 0 : Long.parseLong(after);
+  }
+
+  private static HttpAnswer events(String name, com.fasterxml.jackson.databind.JsonNode events) {
+    return HttpAnswer.json(200, Json.object().set(name, events));
+  }
+
+  private void handleRequest(HttpExchange exchange, String[] segments) {
+    if (segments.length == 3 && exchange.method().equals("DELETE")) {
+      boolean cancelled = batch.cancel(segments[2]);
+      exchange.respond(HttpAnswer.json(200, Map.of("cancelled", cancelled)));
+      return;
+    }
+    if (batch.waitingCount() >= settings.maxWaiting()) {
+      exchange.respond(Answers.tooManyRequests(1));
+      return;
+    }
+    try {
+      String id = exchange.headers().get("x-request-id");
+      generate(
+          exchange,
+          CompletionRequest.parse(
+              id == null ? UUID.randomUUID().toString() : id, Answers.body(exchange)));
+    } catch (IllegalArgumentException e) {
+      exchange.respond(Answers.error(400, "invalid-request", e.getMessage()));
+    }
+  }
+
+  private void generate(HttpExchange exchange, CompletionRequest request) {
+    Generation generation =
+        new Generation(request.prompt(), request.seed(), settings.medianTokens());
+    if (!request.continueText().equals(generation.text(request.continueTokens()))) {
+      throw new IllegalArgumentException("continue_from: not what the model generates");
+    }
+    HttpStream out = exchange.startStream(200, STREAM_HEADERS);
+    TokenStream stream = new TokenStream(request, generation, out, journal.begin(request));
+    exchange.onAbandoned(() -> onLoop(() -> batch.cancel(stream)));
+    batch.add(stream);
+  }
+
+  private ObjectNode load() {
+    return Json.object()
+        .put("running", batch.runningCount())
+        .put("waiting", batch.waitingCount())
+        .put("kvUsedShare", cache.usedShare())
+        .put("weightVersion", weights.reportedVersion())
+        .put("leaving", leaving)
+        .put("asOfMs", System.currentTimeMillis());
+  }
+
+  private Map<String, Long> statistics() {
+    return Map.of(
+        "streams", journal.count(),
+        "tokens", batch.tokens(),
+        "crashes", crashes,
+        "faults", faults.occurred());
+  }
+
+  private void crashOnRequest(HttpExchange exchange) {
+    int restartAfterMs = Answers.body(exchange).path("restartAfterMs").asInt(0);
+    exchange.respond(HttpAnswer.json(200, Map.of("crashing", true)));
+    beginCrash(restartAfterMs);
+  }
+
+  private void crashOnPoison() {
+    beginCrash(settings.restartTimeMs());
+  }
+
+  /** Stops serving at once, on the event loop; the sockets follow on the lifecycle thread. */
+  private void beginCrash(int restartAfterMs) {
+    crashes++;
+    batch.stop();
+    LIFECYCLE.execute(() -> server.close());
+    if (restartAfterMs >= 0) {
+      LIFECYCLE.schedule(this::restartOnLifecycle, restartAfterMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /**
+   * Crashes the engine and waits until its port is closed.
+   *
+   * @return completes when no connection is left
+   */
+  public CompletableFuture<Void> crash() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          beginCrash(-1);
+          stopped.complete(null);
+        });
+    return stopped.thenRunAsync(() -> {}, LIFECYCLE);
+  }
+
+  /**
+   * Starts the engine again after a crash, with the first weight version and an empty cache.
+   *
+   * @return completes when it listens
+   */
+  public CompletableFuture<Void> restart() {
+    return CompletableFuture.runAsync(this::restartOnLifecycle, LIFECYCLE);
+  }
+
+  private void restartOnLifecycle() {
+    if (closed) {
+      return;
+    }
+    loop.submit(
+            () -> {
+              weights.reset();
+              cache.clear();
+              batch = newBatch();
+            })
+        .syncUninterruptibly();
+    server = listen(address);
+  }
+
+  @Override
+  public void close() {
+    CompletableFuture.runAsync(
+            () -> {
+              closed = true;
+              loop.submit(() -> batch.stop()).syncUninterruptibly();
+              server.close();
+            },
+            LIFECYCLE)
+        .join();
+    if (ownsGroup) {
+      EventLoops.stop(group);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/Faults.java
@@ -0,0 +1,201 @@
+package org.sycamoretrack.standins.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.sycamoretrack.standins.connection.FaultyExchange;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * The fault switch of one stand-in. Faults are set in process by {@link #add} or over HTTP: {@code
+ * POST /faults} adds one, {@code GET /faults} counts, {@code DELETE /faults} clears them all.
+ *
+ * <p>Every request is first shown to the faults in the order in which they were added; the first
+ * that matches decides how it is answered. A fault that has occurred {@code times} times, or is
+ * older than {@code durationMs}, is gone. Thread-safe.
+ */
+public final class Faults {
+  private static final String PATH = "/faults";
+  private static final int REMEMBERED_ANSWERS = 1_024;
+
+  /** A fault with what is left of it. */
+  private static final class Active {
+    final Fault fault;
+    final long startNs = System.nanoTime();
+    int occurrences;
+
+    Active(Fault fault) {
+      this.fault = fault;
+    }
+
+    boolean isOver() {
+      boolean used = fault.times() > 0 && occurrences >= fault.times();
+      long ageNs = System.nanoTime() - startNs;
+      return used
+          || (fault.durationMs() > 0 && ageNs > TimeUnit.MILLISECONDS.toNanos(fault.durationMs()));
+    }
+  }
+
+  private final List<Active> active = new ArrayList<>();
+  private final Map<String, HttpAnswer> oldAnswers =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, HttpAnswer> eldest) {
+          return size() > REMEMBERED_ANSWERS;
+        }
+      };
+  private final Random random;
+  private long occurred;
+
+  /**
+   * Creates a switch without faults.
+   *
+   * @param seed seed of the draws for faults with a share
+   */
+  public Faults(long seed) {
+    this.random = new Random(seed);
+  }
+
+  /**
+   * Adds a fault.
+   *
+   * @param fault the fault
+   */
+  public synchronized void add(Fault fault) {
+    active.add(new Active(fault));
+  }
+
+  /** Removes all faults. */
+  public synchronized void clear() {
+    active.clear();
+  }
+
+  /** Returns how often a fault has occurred. */
+  public synchronized long occurred() {
+    return occurred;
+  }
+
+  /**
+   * Takes one occurrence of a fault that is not about HTTP.
+   *
+   * @param kind the kind
+   * @return the fault, or null when there is none
+   */
+  public Fault take(FaultKind kind) {
+    return take(fault -> fault.kind() == kind);
+  }
+
+  /**
+   * Takes one occurrence of a poison fault.
+   *
+   * @param prompt the prompt that an engine is about to run
+   * @return whether the prompt crashes the engine
+   */
+  boolean takePoison(String prompt) {
+    return take(fault -> fault.kind() == FaultKind.POISON && prompt.contains(fault.prompt()))
+        != null;
+  }
+
+  /** Returns by what an engine's time per token is multiplied now. */
+  synchronized double slowFactor() {
+    double factor = 1;
+    for (Active candidate : active) {
+      if (candidate.fault.kind() == FaultKind.SLOWED_ENGINE && !candidate.isOver()) {
+        factor *= candidate.fault.factor();
+      }
+    }
+    return factor;
+  }
+
+  private synchronized Fault take(Predicate<Fault> predicate) {
+    if (active.isEmpty()) {
+      return null;
+    }
+    active.removeIf(Active::isOver);
+    for (Active candidate : active) {
+      Fault fault = candidate.fault;
+      if (predicate.test(fault) && (fault.share() >= 1 || random.nextDouble() < fault.share())) {
+        candidate.occurrences++;
+        occurred++;
+        return fault;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Returns a handler that shows each request to the faults before another handles it.
+   *
+   * @param handler handles the requests
+   */
+  public HttpHandler wrap(HttpHandler handler) {
+    return exchange -> {
+      if (exchange.path().equals(PATH)) {
+        answerSwitch(exchange);
+        return;
+      }
+      String method = exchange.method();
+      String path = exchange.path();
+      Fault fault = take(each -> each.kind().isHttp() && each.matches(method, path));
+      if (fault == null) {
+        handler.handle(remembering(exchange));
+      } else {
+        apply(fault, exchange, handler);
+      }
+    };
+  }
+
+  private void apply(Fault fault, HttpExchange exchange, HttpHandler handler) {
+    switch (fault.kind()) {
+      case SLOW ->
+          exchange
+              .eventLoop()
+              .schedule(() -> handler.handle(exchange), fault.delayMs(), TimeUnit.MILLISECONDS);
+      case REFUSED -> exchange.respond(Answers.error(503, "refused", "refused by a fault"));
+      case OUTAGE -> exchange.abort();
+      case STALE -> handler.handle(FaultyExchange.stale(exchange, oldAnswer(exchange)));
+      default -> handler.handle(FaultyExchange.broken(exchange, fault));
+    }
+  }
+
+  private HttpExchange remembering(HttpExchange exchange) {
+    if (!exchange.method().equals("GET")) {
+      return exchange;
+    }
+    return FaultyExchange.remembering(exchange, answer -> remember(exchange.target(), answer));
+  }
+
+  private synchronized void remember(String target, HttpAnswer answer) {
+    oldAnswers.putIfAbsent(target, answer);
+  }
+
+  private synchronized HttpAnswer oldAnswer(HttpExchange exchange) {
+    return exchange.method().equals("GET") ? oldAnswers.get(exchange.target()) : null;
+  }
+
+  private void answerSwitch(HttpExchange exchange) {
+    switch (exchange.method()) {
+      case "POST" -> {
+        JsonNode json = Answers.body(exchange);
+        try {
+          add(Fault.parse(json));
+          exchange.respond(HttpAnswer.json(200, Map.of("added", true)));
+        } catch (IllegalArgumentException e) {
+          exchange.respond(Answers.error(400, "invalid-request", "kind: " + e.getMessage()));
+        }
+      }
+      case "DELETE" -> {
+        clear();
+        exchange.respond(HttpAnswer.json(200, Map.of("cleared", true)));
+      }
+      default -> exchange.respond(HttpAnswer.json(200, Map.of("occurred", occurred())));
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/ObjectStandin.java
@@ -0,0 +1,55 @@
+package org.sycamoretrack.standins.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/** An object store in memory. */
+final class ObjectStandin {
+  private static final String PATH = "/objects/";
+
+  private final TreeMap<String, byte[]> objects = new TreeMap<>();
+
+  /** Answers a request under {@code /objects}. */
+  synchronized HttpAnswer handle(HttpExchange exchange) {
+    if (!exchange.path().startsWith(PATH)) {
+      return list(exchange.queryParam("prefix"));
+    }
+    String key =
+        String.join("/", List.of(Answers.segments(exchange.path()))).substring(PATH.length() - 1);
+    return switch (exchange.method()) {
+      case "PUT" -> put(exchange, key);
+      case "DELETE" -> {
+        objects.remove(key);
+        yield HttpAnswer.json(200, Map.of());
+      }
+      default -> get(key);
+    };
+  }
+
+  private HttpAnswer list(String prefix) {
+    String start = prefix == null ? "" : prefix;
+    List<String> keys =
+        objects.tailMap(start).keySet().stream().takeWhile(key -> key.startsWith(start)).toList();
+    return HttpAnswer.json(200, Map.of("keys", keys));
+  }
+
+  private HttpAnswer put(HttpExchange exchange, String key) {
+    boolean onlyNew = "*".equals(exchange.headers().get("if-none-match"));
+    if (onlyNew && objects.containsKey(key)) {
+      return Answers.error(412, "version-conflict", "the object exists");
+    }
+    objects.put(key, exchange.body());
+    return HttpAnswer.json(200, Map.of());
+  }
+
+  private HttpAnswer get(String key) {
+    byte[] body = objects.get(key);
+    if (body == null) {
+      return Answers.error(404, "not-found", "no such object");
+    }
+    return new HttpAnswer(200, Map.of("content-type", "application/octet-stream"), body);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/PlatformCommand.java
@@ -0,0 +1,44 @@
+package org.sycamoretrack.standins.process;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.Map;
+
+/** Runs a {@link PlatformStandin} as a process. */
+@Parameters(
+    commandDescription = "Table service, object store, host list and weight store in memory")
+final class PlatformCommand implements Command {
+  @Parameter(names = "--port", description = "Port on the loopback address, 0 for a free one")
+  private int port;
+
+  @Parameter(names = "--host-lag-ms", description = "How late the host list shows changes")
+  private int hostLagMs = 2_000;
+
+  @Parameter(names = "--weights-bytes", description = "Size of the weights of each version")
+  private int weightsBytes = 1 << 16;
+
+  @Parameter(names = "--fetches-per-second", description = "Rate limit of the weight store")
+  private double fetchesPerSecond = 8;
+
+  @Parameter(names = "--fetch-burst", description = "Fetches at once after a pause")
+  private int fetchBurst = 4;
+
+  @Override
+  public String name() {
+    return "platform";
+  }
+
+  @Override
+  public int run() throws InterruptedException {
+    PlatformStandin platform =
+        PlatformStandin.builder()
+            .port(port)
+            .hostLagMs(hostLagMs)
+            .weightsBytes(weightsBytes)
+            .fetchLimit(fetchesPerSecond, fetchBurst)
+            .start();
+    Standins.printLine(Map.of("event", "ready", "port", platform.address().getPort()));
+    Standins.serve();
+    return 0;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/PlatformStandin.java
@@ -0,0 +1,198 @@
+package org.sycamoretrack.standins.process;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.sycamoretrack.standins.version.WeightStoreStandin;
+import org.sycamoretrack.transport.connection.EventLoops;
+import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/**
+ * The platform in memory behind one HTTP server: table service, object store, host list and weight
+ * store. {@code GET /statistics} counts what was asked of it.
+ */
+public final class PlatformStandin implements AutoCloseable {
+  private static final int MAX_BODY_BYTES = 16 << 20;
+
+  private final EventLoopGroup group;
+  private final boolean ownsGroup;
+  private final Faults faults;
+  private final TableStandin table = new TableStandin();
+  private final ObjectStandin objects = new ObjectStandin();
+  private final HostListStandin hosts;
+  private final WeightStoreStandin weights;
+  private final HttpServer server;
+
+  private PlatformStandin(Builder builder) {
+    this.ownsGroup = builder.group == null;
+    this.group = ownsGroup ? EventLoops.start("platform", 1) : builder.group;
+    this.faults = new Faults(builder.seed);
+    this.hosts = new HostListStandin(builder.hostLagMs);
+    this.weights =
+        new WeightStoreStandin(builder.weightsBytes, builder.fetchesPerSecond, builder.fetchBurst);
+    this.server =
+        HttpServer.builder()
+            .group(group)
+            .address(new InetSocketAddress(InetAddress.getLoopbackAddress(), builder.port))
+            .maxBodyBytes(MAX_BODY_BYTES)
+            .handler(faults.wrap(this::handle))
+            .start();
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns where the platform listens. */
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  /** Returns the fault switch. */
+  public Faults faults() {
+    return faults;
+  }
+
+  /** Returns the table service. */
+  public TableStandin table() {
+    return table;
+  }
+
+  /** Returns the host list. */
+  public HostListStandin hosts() {
+    return hosts;
+  }
+
+  /** Returns the weight store. */
+  public WeightStoreStandin weights() {
+    return weights;
+  }
+
+  private void handle(HttpExchange exchange) {
+    try {
+      exchange.respond(answer(exchange));
+    } catch (IllegalArgumentException e) {
+      exchange.respond(Answers.error(400, "invalid-request", String.valueOf(e.getMessage())));
+    }
+  }
+
+  private HttpAnswer answer(HttpExchange exchange) {
+    String[] segments = Answers.segments(exchange.path());
+    return switch (segments[0]) {
+      case "tables" -> table.read(exchange, segments);
+      case "transactions" -> table.transact(Answers.body(exchange));
+      case "objects" -> objects.handle(exchange);
+      case "hosts", "host-lag" -> hosts.handle(exchange, segments);
+      case "models" -> weights.handle(exchange.method(), segments);
+      case "statistics" -> HttpAnswer.json(200, statistics());
+      default -> Answers.error(404, "not-found", "no such path");
+    };
+  }
+
+  private Map<String, Long> statistics() {
+    return Map.of(
+        "tableReads", table.reads(),
+        "tableWrites", table.writes(),
+        "weightFetches", weights.fetches(),
+        "weightRefusals", weights.refusals(),
+        "faults", faults.occurred());
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    if (ownsGroup) {
+      EventLoops.stop(group);
+    }
+  }
+
+  /** Builds and starts a {@link PlatformStandin}. */
+  public static final class Builder {
+    private EventLoopGroup group;
+    private int port;
+    private long seed;
+    private int hostLagMs;
+    private int weightsBytes = 1 << 16;
+    private double fetchesPerSecond = 8;
+    private int fetchBurst = 4;
+
+    private Builder() {}
+
+    /**
+     * Sets the event loops; without them the platform has one of its own.
+     *
+     * @param group the loops
+     * @return this builder
+     */
+    public Builder group(EventLoopGroup group) {
+      this.group = group;
+      return this;
+    }
+
+    /**
+     * Sets the port.
+     *
+     * @param port the port, 0 for a free one
+     * @return this builder
+     */
+    public Builder port(int port) {
+      this.port = port;
+      return this;
+    }
+
+    /**
+     * Sets the seed of faults that occur with a probability.
+     *
+     * @param seed the seed
+     * @return this builder
+     */
+    public Builder seed(long seed) {
+      this.seed = seed;
+      return this;
+    }
+
+    /**
+     * Sets how late the host list shows changes.
+     *
+     * @param hostLagMs milliseconds
+     * @return this builder
+     */
+    public Builder hostLagMs(int hostLagMs) {
+      this.hostLagMs = hostLagMs;
+      return this;
+    }
+
+    /**
+     * Sets the size of the weights of each version.
+     *
+     * @param weightsBytes bytes
+     * @return this builder
+     */
+    public Builder weightsBytes(int weightsBytes) {
+      this.weightsBytes = weightsBytes;
+      return this;
+    }
+
+    /**
+     * Sets the rate limit of the weight store.
+     *
+     * @param fetchesPerSecond sustained fetches a second
+     * @param fetchBurst fetches that may come at once after a pause
+     * @return this builder
+     */
+    public Builder fetchLimit(double fetchesPerSecond, int fetchBurst) {
+      this.fetchesPerSecond = fetchesPerSecond;
+      this.fetchBurst = fetchBurst;
+      return this;
+    }
+
+    /** Starts the platform. */
+    public PlatformStandin start() {
+      return new PlatformStandin(this);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/ServiceCommand.java
@@ -0,0 +1,40 @@
+package org.sycamoretrack.standins.process;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.transport.connection.EventLoops;
+
+/** Runs one or several {@link ServiceStandin}s as a process. */
+@Parameters(commandDescription = "Plain services: lookups, bookings and a scorer")
+final class ServiceCommand implements Command {
+  @Parameter(names = "--port", description = "First port on the loopback address, 0 for free ones")
+  private int port;
+
+  @Parameter(names = "--count", description = "Number of services, on ports that follow each other")
+  private int count = 1;
+
+  @Parameter(names = "--service-time-ms", description = "How long a call takes")
+  private int serviceTimeMs = 5;
+
+  @Override
+  public String name() {
+    return "service";
+  }
+
+  @Override
+  public int run() throws InterruptedException {
+    EventLoopGroup group = EventLoops.start("service", 1);
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int servicePort = port == 0 ? 0 : port + i;
+      ports.add(ServiceStandin.start(group, servicePort, serviceTimeMs).address().getPort());
+    }
+    Standins.printLine(Map.of("event", "ready", "port", ports.get(0), "ports", ports));
+    Standins.serve();
+    return 0;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/request/TokenStream.java
@@ -0,0 +1,126 @@
+package org.sycamoretrack.standins.request;
+
+import java.nio.charset.StandardCharsets;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/** One answer that an engine is generating. Confined to the engine's event loop. */
+public final class TokenStream {
+  private static final String DONE = "data: [DONE]\n\n";
+
+  private final String requestId;
+  private final String prompt;
+  private final Generation generation;
+  private final HttpStream stream;
+  private final int endToken;
+  private final boolean stopsByItself;
+  private final EngineJournal.Entry entry;
+  private int nextToken;
+  private long readyNs;
+  private boolean ended;
+
+  /**
+   * Creates a stream.
+   *
+   * @param request what was asked
+   * @param generation what the answer will be
+   * @param stream where chunks go
+   * @param entry the stream in the engine's journal
+   */
+  public TokenStream(
+      CompletionRequest request,
+      Generation generation,
+      HttpStream stream,
+      EngineJournal.Entry entry) {
+    this.requestId = request.requestId();
+    this.prompt = request.prompt();
+    this.generation = generation;
+    this.stream = stream;
+    this.entry = entry;
+    this.endToken = Math.min(request.maxTokens(), generation.naturalTokens());
+    this.stopsByItself = generation.naturalTokens() <= request.maxTokens();
+    this.nextToken = request.continueTokens();
+  }
+
+  /** Returns the id of the request. */
+  public String requestId() {
+    return requestId;
+  }
+
+  /** Returns the prompt. */
+  public String prompt() {
+    return prompt;
+  }
+
+  /** Returns the stream's entry in the journal. */
+  public EngineJournal.Entry entry() {
+    return entry;
+  }
+
+  /**
+   * Sets when the prompt has been processed.
+   *
+   * @param readyNs the time of {@link System#nanoTime}
+   */
+  public void setReadyNs(long readyNs) {
+    this.readyNs = readyNs;
+  }
+
+  /**
+   * Returns whether the stream can take a chunk now.
+   *
+   * @param nowNs the time of {@link System#nanoTime}
+   */
+  public boolean isReady(long nowNs) {
+    return nowNs - readyNs >= 0 && stream.isWritable();
+  }
+
+  /** Returns whether the stream was ended or aborted. */
+  public boolean isEnded() {
+    return ended;
+  }
+
+  /**
+   * Sends the next chunk, and the end when it is the last one.
+   *
+   * @param maxTokens most tokens in the chunk
+   * @param version the weight version that made them
+   * @return the number of tokens sent
+   */
+  public int emit(int maxTokens, int version) {
+    int to = Math.min(endToken, nextToken + maxTokens);
+    int tokens = Math.max(0, to - nextToken);
+    boolean last = nextToken + tokens >= endToken;
+    StringBuilder chunk = new StringBuilder(96 + 5 * tokens);
+    chunk.append("data: {\"choices\":[{\"index\":0,\"text\":\"");
+    generation.append(nextToken, nextToken + tokens, chunk);
+    chunk.append("\",\"finish_reason\":").append(finishReason(last));
+    chunk.append("}],\"tokens\":").append(tokens);
+    chunk.append(",\"weight_version\":").append(version).append("}\n\n");
+    if (last) {
+      chunk.append(DONE);
+    }
+    entry.addTokens(version, tokens);
+    nextToken += tokens;
+    stream.write(chunk.toString().getBytes(StandardCharsets.ISO_8859_1));
+    if (last) {
+      ended = true;
+      stream.end();
+    }
+    return tokens;
+  }
+
+  private String finishReason(boolean last) {
+    if (!last) {
+      return "null";
+    }
+    return stopsByItself ? "\"stop\"" : "\"length\"";
+  }
+
+  /** Breaks the stream off. */
+  public void abort() {
+    if (!ended) {
+      ended = true;
+      stream.abort();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/version/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a version of a model's weights. */
+package org.sycamoretrack.standins.version;
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpExchange.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpExchange.java
@@ -58,4 +58,7 @@
    * @param action runs on the event loop, at most once
    */
   void onAbandoned(Runnable action);
+
+  /** Closes the connection without an answer, or without the rest of one that has begun. */
+  void abort();
 }
