Add interfaces to the platform and the engines, with HTTP clients

Each far end of docs/FAR-ENDS.md is met behind an interface, so that an adapter to another protocol replaces one class and touches no decision. A failure is a SycamoreException whose outcome says whether the call may have taken effect: not-run only when no byte can have arrived or the far end refused with 429 or 503; an answer that can't be read is unknown, since it may hide a commit.

The stream parser cuts lines from the bytes as they arrive and reads each event with Jackson's streaming parser; a tree per event was ruled out for the hot path. [DONE] after a finish reason is the one good end.

--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/EngineStreamParser.java
@@ -0,0 +1,282 @@
+package org.sycamoretrack.daemon.platform;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * Parses the server-sent events of a completion stream from parts of any size.
+ *
+ * <p>The bytes are cut into lines. A line that lies whole in one part of a buffer with an array is
+ * parsed in place; only what a part's end cuts off is copied and kept for the next part. A line is
+ * a comment, another field than {@code data}, the end marker, or an event of JSON that is read
+ * token by token without a tree.
+ *
+ * <p>Invariants: a chunk with tokens names its weight version; text comes with tokens; nothing but
+ * the end marker follows a finish reason, and the end marker follows nothing else; no line is
+ * longer than {@link #MAX_LINE_BYTES}.
+ *
+ * <p>Example: the parts {@code "data: {…}\n\nda"} and {@code "ta: [DONE]\n\n"} hold one event,
+ * which is parsed in place, and the end marker, of which {@code "da"} is kept until the second
+ * part.
+ */
+final class EngineStreamParser {
+  /** The longest line, without its end. */
+  static final int MAX_LINE_BYTES = 1 << 20;
+
+  private static final byte[] DATA = {'d', 'a', 't', 'a', ':'};
+  private static final byte[] DONE = {'[', 'D', 'O', 'N', 'E', ']'};
+  private static final int INITIAL_KEPT_BYTES = 512;
+  private static final long NO_VERSION = Long.MIN_VALUE;
+  private static final JsonFactory FACTORY = Json.mapper().getFactory();
+
+  /** Receives what was parsed. */
+  interface Sink {
+    /** Called for a chunk with tokens. */
+    void onTokens(String text, int tokens, long weightVersion);
+
+    /** Called at the end marker. */
+    void onDone(String finishReason);
+
+    /** Called when the engine reports an error in the stream. */
+    void onError(String message);
+  }
+
+  /** A breach of the protocol. */
+  static final class ProtocolException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final EngineFailure.Kind kind;
+
+    ProtocolException(EngineFailure.Kind kind, String message) {
+      super(message, null, false, false);
+      this.kind = kind;
+    }
+
+    EngineFailure.Kind kind() {
+      return kind;
+    }
+  }
+
+  private final Sink sink;
+  private byte[] kept = new byte[0];
+  private int keptBytes;
+  private String finishReason;
+  private boolean done;
+  private boolean broken;
+
+  private String text;
+  private long tokens;
+  private long version;
+  private String error;
+
+  EngineStreamParser(Sink sink) {
+    this.sink = sink;
+  }
+
+  /**
+   * Parses a part of the stream.
+   *
+   * @param part the bytes, all of which are read
+   * @throws ProtocolException at the first breach of the protocol; later parts are ignored
+   */
+  void parse(ByteBuf part) {
+    if (broken) {
+      return;
+    }
+    try {
+      parseLines(part);
+    } catch (ProtocolException e) {
+      broken = true;
+      throw e;
+    }
+  }
+
+  private void parseLines(ByteBuf part) {
+    while (part.isReadable()) {
+      int length = part.bytesBefore((byte) '\n');
+      if (length < 0) {
+        keep(part, part.readableBytes());
+        return;
+      }
+      if (keptBytes == 0 && part.hasArray()) {
+        checkLength(length);
+        parseLine(part.array(), part.arrayOffset() + part.readerIndex(), length);
+        part.skipBytes(length + 1);
+      } else {
+        keep(part, length);
+        part.skipBytes(1);
+        int lineBytes = keptBytes;
+        keptBytes = 0;
+        parseLine(kept, 0, lineBytes);
+      }
+    }
+  }
+
+  private void keep(ByteBuf part, int length) {
+    checkLength(keptBytes + length);
+    if (kept.length < keptBytes + length) {
+      byte[] larger = new byte[Math.max(INITIAL_KEPT_BYTES, 2 * (keptBytes + length))];
+      System.arraycopy(kept, 0, larger, 0, keptBytes);
+      kept = larger;
+    }
+    part.readBytes(kept, keptBytes, length);
+    keptBytes += length;
+  }
+
+  private static void checkLength(int length) {
+    if (length > MAX_LINE_BYTES) {
+      throw new ProtocolException(
+          EngineFailure.Kind.TOO_LARGE, "a line is over " + MAX_LINE_BYTES + " bytes");
+    }
+  }
+
+  private void parseLine(byte[] bytes, int start, int length) {
+    int end = start + length;
+    if (end > start && bytes[end - 1] == '\r') {
+      end--;
+    }
+    if (end == start || !startsWith(bytes, start, end, DATA)) {
+      return;
+    }
+    if (done) {
+      throw malformed("data after the end marker");
+    }
+    int from = start + DATA.length;
+    if (from < end && bytes[from] == ' ') {
+      from++;
+    }
+    if (end - from == DONE.length && startsWith(bytes, from, end, DONE)) {
+      onDoneMarker();
+    } else {
+      parseEvent(bytes, from, end - from);
+    }
+  }
+
+  private static boolean startsWith(byte[] bytes, int start, int end, byte[] expected) {
+    if (end - start < expected.length) {
+      return false;
+    }
+    for (int i = 0; i < expected.length; i++) {
+      if (bytes[start + i] != expected[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void onDoneMarker() {
+    if (finishReason == null) {
+      throw malformed("the end marker came without a finish reason");
+    }
+    done = true;
+    sink.onDone(finishReason);
+  }
+
+  private void parseEvent(byte[] bytes, int offset, int length) {
+    if (finishReason != null) {
+      throw malformed("an event after the finish reason");
+    }
+    text = "";
+    tokens = 0;
+    version = NO_VERSION;
+    error = null;
+    try (JsonParser json = FACTORY.createParser(bytes, offset, length)) {
+      readEvent(json);
+    } catch (IOException e) {
+      throw malformed("an event is not JSON of the required form");
+    }
+    emit();
+  }
+
+  private void emit() {
+    if (error != null) {
+      sink.onError(error);
+      return;
+    }
+    if (tokens < 0 || tokens > Integer.MAX_VALUE || (tokens == 0 && !text.isEmpty())) {
+      throw malformed("the number of tokens doesn't fit the text");
+    }
+    if (tokens > 0) {
+      if (version < 0) {
+        throw malformed("tokens without a weight version");
+      }
+      sink.onTokens(text, (int) tokens, version);
+    }
+  }
+
+  private void readEvent(JsonParser json) throws IOException {
+    require(json.nextToken() == JsonToken.START_OBJECT, "an event is not an object");
+    String name;
+    while ((name = json.nextFieldName()) != null) {
+      switch (name) {
+        case "choices" -> readChoices(json);
+        case "tokens" -> tokens = readLong(json);
+        case "weight_version" -> readVersion(json);
+        case "error" -> readError(json);
+        default -> skipValue(json);
+      }
+    }
+    require(json.currentToken() == JsonToken.END_OBJECT, "an event is not an object");
+    require(json.nextToken() == null, "an event holds more than one value");
+  }
+
+  private void readVersion(JsonParser json) throws IOException {
+    if (json.nextToken() != JsonToken.VALUE_NULL) {
+      require(json.currentToken() == JsonToken.VALUE_NUMBER_INT, "a version is not an integer");
+      version = json.getLongValue();
+    }
+  }
+
+  private static long readLong(JsonParser json) throws IOException {
+    require(json.nextToken() == JsonToken.VALUE_NUMBER_INT, "a number is not an integer");
+    return json.getLongValue();
+  }
+
+  private void readChoices(JsonParser json) throws IOException {
+    require(json.nextToken() == JsonToken.START_ARRAY, "choices is not a list");
+    require(json.nextToken() == JsonToken.START_OBJECT, "choices is empty");
+    String name;
+    while ((name = json.nextFieldName()) != null) {
+      switch (name) {
+        case "text" -> text = readText(json, "");
+        case "finish_reason" -> finishReason = readText(json, null);
+        default -> skipValue(json);
+      }
+    }
+    require(json.nextToken() == JsonToken.END_ARRAY, "choices has more than one element");
+  }
+
+  private static String readText(JsonParser json, String absent) throws IOException {
+    JsonToken token = json.nextToken();
+    if (token == JsonToken.VALUE_NULL) {
+      return absent;
+    }
+    require(token == JsonToken.VALUE_STRING, "a text is not a string");
+    return json.getText();
+  }
+
+  private void readError(JsonParser json) throws IOException {
+    json.nextToken();
+    json.skipChildren();
+    error = "the engine reported an error in the stream";
+  }
+
+  private static void skipValue(JsonParser json) throws IOException {
+    json.nextToken();
+    json.skipChildren();
+  }
+
+  private static void require(boolean condition, String message) {
+    if (!condition) {
+      throw malformed(message);
+    }
+  }
+
+  private static ProtocolException malformed(String message) {
+    return new ProtocolException(EngineFailure.Kind.MALFORMED, message);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/HttpEngineClient.java
@@ -0,0 +1,149 @@
+package org.sycamoretrack.daemon.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpCall;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/** Model engines over HTTP: server-sent events for streams, JSON for the rest. */
+public final class HttpEngineClient implements EngineClient {
+  private static final int FIRST_SUCCESS = 200;
+  private static final int FIRST_REDIRECT = 300;
+  private static final int ACCEPTED = 202;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+
+  private final HttpClient client;
+  private final PlatformCalls calls;
+
+  /**
+   * Creates a client.
+   *
+   * @param client carries the calls
+   * @param timeoutMs the longest time for a call other than a stream, in milliseconds
+   */
+  public HttpEngineClient(HttpClient client, int timeoutMs) {
+    this.client = client;
+    this.calls = new PlatformCalls(client, "engine", ErrorCode.ENDPOINT_FAILED, timeoutMs);
+  }
+
+  @Override
+  public HttpCall complete(
+      InetSocketAddress address,
+      CompletionRequest request,
+      EventLoop loop,
+      EngineListener listener) {
+    HttpRequest http =
+        HttpRequest.builder("POST", address, "/v1/completions")
+            .header("x-request-id", request.requestId())
+            .json(write(request))
+            .timeoutMs(request.timeoutMs())
+            .idleTimeoutMs(request.idleTimeoutMs())
+            .build();
+    EngineStream stream = new EngineStream(listener);
+    HttpCall call = loop == null ? client.send(http, stream) : client.send(http, stream, loop);
+    stream.onBroken(call::cancel);
+    return call;
+  }
+
+  private static ObjectNode write(CompletionRequest request) {
+    ObjectNode body =
+        Json.object()
+            .put("model", request.model())
+            .put("prompt", request.prompt())
+            .put("max_tokens", request.maxTokens())
+            .put("seed", request.seed())
+            .put("stream", true);
+    if (request.continueTokens() > 0) {
+      body.putObject("continue_from")
+          .put("text", request.continueText())
+          .put("tokens", request.continueTokens());
+    }
+    return body;
+  }
+
+  @Override
+  public CompletionStage<Void> cancel(InetSocketAddress address, String requestId) {
+    String target = "/v1/requests/" + PlatformCalls.encode(requestId);
+    return calls.call(
+        calls.request("DELETE", address, target).build(),
+        answer -> {
+          boolean success = answer.status() >= FIRST_SUCCESS && answer.status() < FIRST_REDIRECT;
+          if (!success && answer.status() != NOT_FOUND) {
+            throw calls.unexpected(answer);
+          }
+          return null;
+        });
+  }
+
+  @Override
+  public CompletionStage<Load> load(InetSocketAddress address) {
+    return calls.call(
+        calls.request("GET", address, "/load").build(),
+        answer -> {
+          calls.requireOk(answer);
+          return readLoad(answer.json());
+        });
+  }
+
+  private static Load readLoad(JsonNode body) {
+    return new Load(
+        JsonFields.requireInt(body, "running"),
+        JsonFields.requireInt(body, "waiting"),
+        JsonFields.requireDouble(body, "kvUsedShare"),
+        JsonFields.requireLong(body, "weightVersion"),
+        JsonFields.requireBoolean(body, "leaving"),
+        JsonFields.requireLong(body, "asOfMs"));
+  }
+
+  @Override
+  public CompletionStage<Weights> weights(InetSocketAddress address) {
+    return calls.call(
+        calls.request("GET", address, "/weights").build(),
+        answer -> {
+          calls.requireOk(answer);
+          return readWeights(answer.json());
+        });
+  }
+
+  private static Weights readWeights(JsonNode body) {
+    long loading =
+        body.hasNonNull("loading") ? JsonFields.requireLong(body, "loading") : NOT_LOADING;
+    return new Weights(
+        JsonFields.requireLong(body, "version"), loading, JsonFields.requireLong(body, "fence"));
+  }
+
+  @Override
+  public CompletionStage<OrderAnswer> order(InetSocketAddress address, LoadOrder order) {
+    ObjectNode body =
+        Json.object()
+            .put("orderId", order.orderId())
+            .put("order", "load-weights")
+            .put("version", order.version())
+            .put("fence", order.fence())
+            .put("node", order.nodeId());
+    return calls.call(
+        calls.request("POST", address, "/orders").json(body).build(), this::readOrderAnswer);
+  }
+
+  private OrderAnswer readOrderAnswer(HttpAnswer answer) {
+    if (answer.status() == ACCEPTED) {
+      if (!JsonFields.requireBoolean(answer.json(), "accepted")) {
+        throw new IllegalArgumentException("status and body disagree");
+      }
+      return OrderAnswer.ACCEPTED;
+    }
+    if (answer.status() == CONFLICT
+        && answer.json().path("error").path("code").asText().equals("stale-fence")) {
+      return OrderAnswer.STALE_FENCE;
+    }
+    throw calls.unexpected(answer);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/HttpHostList.java
@@ -0,0 +1,57 @@
+package org.sycamoretrack.daemon.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletionStage;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.transport.connection.HttpClient;
+
+/** The host list over HTTP and JSON. */
+public final class HttpHostList implements HostList {
+  private final PlatformCalls calls;
+  private final InetSocketAddress address;
+
+  /**
+   * Creates a client.
+   *
+   * @param client carries the calls
+   * @param address the host list
+   * @param timeoutMs the longest time for one call, in milliseconds
+   */
+  public HttpHostList(HttpClient client, InetSocketAddress address, int timeoutMs) {
+    this.calls = new PlatformCalls(client, "host list", ErrorCode.PLATFORM_UNAVAILABLE, timeoutMs);
+    this.address = address;
+  }
+
+  @Override
+  public CompletionStage<Snapshot> hosts() {
+    return calls.call(
+        calls.request("GET", address, "/hosts").build(),
+        answer -> {
+          calls.requireOk(answer);
+          return readSnapshot(answer.json());
+        });
+  }
+
+  private static Snapshot readSnapshot(JsonNode body) {
+    List<Host> hosts = new ArrayList<>();
+    for (JsonNode node : JsonFields.requireArray(body, "hosts")) {
+      hosts.add(readHost(node));
+    }
+    return new Snapshot(JsonFields.requireLong(body, "asOfMs"), hosts);
+  }
+
+  private static Host readHost(JsonNode node) {
+    return new Host(
+        JsonFields.requireText(node, "hostId"),
+        Role.valueOf(JsonFields.requireText(node, "role").toUpperCase(Locale.ROOT)),
+        JsonFields.requireText(node, "address"),
+        JsonFields.requireInt(node, "port"),
+        JsonFields.requireText(node, "zone"),
+        node.hasNonNull("pool") ? JsonFields.requireText(node, "pool") : null,
+        State.valueOf(JsonFields.requireText(node, "state").toUpperCase(Locale.ROOT)));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/HttpObjectStore.java
@@ -0,0 +1,109 @@
+package org.sycamoretrack.daemon.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** The object store over HTTP. */
+public final class HttpObjectStore implements ObjectStore {
+  private static final int FIRST_SUCCESS = 200;
+  private static final int FIRST_REDIRECT = 300;
+  private static final int NOT_FOUND = 404;
+  private static final int PRECONDITION_FAILED = 412;
+
+  private final PlatformCalls calls;
+  private final InetSocketAddress address;
+
+  /**
+   * Creates a client.
+   *
+   * @param client carries the calls
+   * @param address the object store
+   * @param timeoutMs the longest time for one call, in milliseconds
+   */
+  public HttpObjectStore(HttpClient client, InetSocketAddress address, int timeoutMs) {
+    this.calls =
+        new PlatformCalls(client, "object store", ErrorCode.PLATFORM_UNAVAILABLE, timeoutMs);
+    this.address = address;
+  }
+
+  @Override
+  public CompletionStage<Void> put(String key, byte[] bytes) {
+    return calls.call(
+        calls.request("PUT", address, target(key)).body(bytes).build(),
+        answer -> requireSuccess(answer));
+  }
+
+  @Override
+  public CompletionStage<Boolean> putIfAbsent(String key, byte[] bytes) {
+    return calls.call(
+        calls.request("PUT", address, target(key)).header("if-none-match", "*").body(bytes).build(),
+        answer -> {
+          if (answer.status() == PRECONDITION_FAILED) {
+            return false;
+          }
+          requireSuccess(answer);
+          return true;
+        });
+  }
+
+  @Override
+  public CompletionStage<Optional<byte[]>> get(String key) {
+    return calls.call(
+        calls.request("GET", address, target(key)).build(),
+        answer -> {
+          if (answer.status() == NOT_FOUND) {
+            return Optional.empty();
+          }
+          calls.requireOk(answer);
+          return Optional.of(answer.body());
+        });
+  }
+
+  @Override
+  public CompletionStage<Void> delete(String key) {
+    return calls.call(
+        calls.request("DELETE", address, target(key)).build(),
+        answer -> answer.status() == NOT_FOUND ? null : requireSuccess(answer));
+  }
+
+  @Override
+  public CompletionStage<List<String>> list(String prefix) {
+    String target = "/objects?prefix=" + PlatformCalls.encode(prefix);
+    return calls.call(
+        calls.request("GET", address, target).build(),
+        answer -> {
+          calls.requireOk(answer);
+          return readKeys(answer.json(), prefix);
+        });
+  }
+
+  private static List<String> readKeys(JsonNode body, String prefix) {
+    List<String> keys = new ArrayList<>();
+    for (JsonNode key : JsonFields.requireArray(body, "keys")) {
+      if (!key.isTextual() || !key.textValue().startsWith(prefix)) {
+        throw new IllegalArgumentException("a key doesn't begin with the prefix");
+      }
+      keys.add(key.textValue());
+    }
+    keys.sort(null);
+    return keys;
+  }
+
+  private Void requireSuccess(HttpAnswer answer) {
+    if (answer.status() < FIRST_SUCCESS || answer.status() >= FIRST_REDIRECT) {
+      throw calls.unexpected(answer);
+    }
+    return null;
+  }
+
+  private static String target(String key) {
+    return "/objects/" + PlatformCalls.encode(key);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/WeightStore.java
@@ -0,0 +1,28 @@
+package org.sycamoretrack.daemon.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/** The store of model weights. Trainers publish versions to it and engines load from it. */
+public interface WeightStore {
+  /**
+   * The versions of a model.
+   *
+   * @param latest the newest version, 0 when there is none
+   * @param versions all that can be loaded, rising
+   */
+  record Versions(long latest, List<Long> versions) {
+    /** Copies the versions. */
+    public Versions {
+      versions = List.copyOf(versions);
+    }
+  }
+
+  /**
+   * Reads which versions a model has.
+   *
+   * @param model the model's name
+   * @return the versions; fails with a {@link org.sycamoretrack.core.process.SycamoreException}
+   */
+  CompletionStage<Versions> versions(String model);
+}
