--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/JsonLog.java
@@ -0,0 +1,157 @@
+package org.sycamoretrack.daemon.process;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.text.MessageFormat;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.ResourceBundle;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * Writes logs as JSON lines to the standard error stream.
+ *
+ * <p>Each line has {@code time}, {@code level}, {@code node}, {@code zone}, {@code logger} and
+ * {@code event}. An event of the same logger is written at most {@value #MAX_PER_SECOND} times a
+ * second; the next line that is written says in {@code suppressed} how many were left out.
+ *
+ * <p>It is found as a {@link System.LoggerFinder}, so that all code logs through {@link
+ * System.Logger}.
+ */
+public final class JsonLog extends System.LoggerFinder {
+  private static final int MAX_PER_SECOND = 20;
+  private static final int MAX_TRACKED_EVENTS = 1_000;
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  private static volatile String nodeId = "";
+  private static volatile String zone = "";
+
+  private final PrintStream out = System.err;
+  private final Map<String, Rate> rates = new HashMap<>();
+
+  /** Creates the finder; called by the service loader. */
+  public JsonLog() {}
+
+  /**
+   * Names the process in all lines from now on.
+   *
+   * @param newNodeId the node
+   * @param newZone its availability zone
+   */
+  public static void identify(String newNodeId, String newZone) {
+    nodeId = newNodeId;
+    zone = newZone;
+  }
+
+  @Override
+  public System.Logger getLogger(String name, Module module) {
+    return new JsonLogger(name);
+  }
+
+  private synchronized void write(
+      System.Logger.Level level, String logger, LogEvent event, Throwable thrown) {
+    long suppressed = admit(logger + '/' + event.name());
+    if (suppressed < 0) {
+      return;
+    }
+    ObjectNode line = Json.object();
+    line.put("time", Instant.now().toString());
+    line.put("level", level.getName());
+    line.put("node", nodeId);
+    line.put("zone", zone);
+    line.put("logger", logger.substring(logger.lastIndexOf('.') + 1));
+    event.writeTo(line);
+    if (thrown != null) {
+      line.put("error", thrown.toString());
+      line.put("at", firstFrame(thrown));
+    }
+    if (suppressed > 0) {
+      line.put("suppressed", suppressed);
+    }
+    out.println(line);
+  }
+
+  private static String firstFrame(Throwable thrown) {
+    StackTraceElement[] trace = thrown.getStackTrace();
+    return trace.length == 0 ? "" : trace[0].toString();
+  }
+
+  /** Returns how many events were left out before this one, or -1 when this one is too. */
+  private long admit(String key) {
+    if (rates.size() > MAX_TRACKED_EVENTS) {
+      rates.clear();
+    }
+    Rate rate = rates.computeIfAbsent(key, any -> new Rate());
+    long now = System.nanoTime();
+    if (now - rate.startNanos >= SECOND_NANOS) {
+      rate.startNanos = now;
+      rate.written = 0;
+    }
+    if (rate.written >= MAX_PER_SECOND) {
+      rate.suppressed++;
+      return -1;
+    }
+    rate.written++;
+    long suppressed = rate.suppressed;
+    rate.suppressed = 0;
+    return suppressed;
+  }
+
+  /** How often an event was written in the current second. */
+  private static final class Rate {
+    private long startNanos = System.nanoTime();
+    private int written;
+    private long suppressed;
+  }
+
+  /** A logger of one name. */
+  private final class JsonLogger implements System.Logger {
+    private final String name;
+
+    private JsonLogger(String name) {
+      this.name = name;
+    }
+
+    @Override
+    public String getName() {
+      return name;
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+      Level least = name.startsWith("org.sycamoretrack") ? Level.INFO : Level.WARNING;
+      return level.getSeverity() >= least.getSeverity() && level != Level.OFF;
+    }
+
+    @Override
+    public void log(Level level, Object event) {
+      if (isLoggable(level)) {
+        write(level, name, event instanceof LogEvent e ? e : textEvent(event.toString()), null);
+      }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String message, Throwable thrown) {
+      if (isLoggable(level)) {
+        write(level, name, textEvent(message), thrown);
+      }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... params) {
+      if (isLoggable(level)) {
+        boolean bare = params == null || params.length == 0;
+        String message = bare ? format : MessageFormat.format(format, params);
+        write(level, name, textEvent(message), null);
+      }
+    }
+
+    private LogEvent textEvent(String message) {
+      if (message != null && message.matches("[a-z0-9-]+")) {
+        return LogEvent.of(message);
+      }
+      return LogEvent.of("message").with("message", message);
+    }
+  }
+}
