--- /dev/null
+++ b/standins/src/test/java/org/sycamoretrack/standins/history/InvariantCheckerTest.java
@@ -0,0 +1,332 @@
+package org.sycamoretrack.standins.history;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sycamoretrack.standins.history.HistoryRecord.CallExecuted;
+import org.sycamoretrack.standins.history.HistoryRecord.ConfigAccepted;
+import org.sycamoretrack.standins.history.HistoryRecord.ConfigObserved;
+import org.sycamoretrack.standins.history.HistoryRecord.CutBegan;
+import org.sycamoretrack.standins.history.HistoryRecord.CutEnded;
+import org.sycamoretrack.standins.history.HistoryRecord.EndpointLeaving;
+import org.sycamoretrack.standins.history.HistoryRecord.EndpointReturned;
+import org.sycamoretrack.standins.history.HistoryRecord.EngineProduced;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnd;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnded;
+import org.sycamoretrack.standins.history.HistoryRecord.PollSent;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestAnswered;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestBroken;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestRefused;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestSent;
+import org.sycamoretrack.standins.history.HistoryRecord.SampleReceived;
+import org.sycamoretrack.standins.history.HistoryRecord.StepOpened;
+import org.sycamoretrack.standins.history.HistoryRecord.StopBegan;
+import org.sycamoretrack.standins.history.HistoryRecord.StopEnded;
+import org.sycamoretrack.standins.history.HistoryRecord.WorkReceived;
+
+/** Tests of {@link InvariantChecker}: every check is seen to fail, and to pass when clean. */
+class InvariantCheckerTest {
+  private static final List<Span> SPAN = List.of(new Span(7, 0, 2));
+
+  private static SampleReceived sample(String pollId, int slot, String text, List<Span> spans) {
+    return new SampleReceived(20, pollId, slot, "p", text, 2, spans);
+  }
+
+  private static EngineProduced produced(String requestId, int from, long version, String text) {
+    return new EngineProduced(15, "e1", requestId, "p", from, version, text);
+  }
+
+  private static RequestSent completion() {
+    return new RequestSent(1, "r1", "n1", true, null, "p", null);
+  }
+
+  private static RequestSent booking(String requestId, String key) {
+    return new RequestSent(1, requestId, "n1", false, key, null, "booked 1");
+  }
+
+  private static ConfigObserved seen(long atMs, String node, long version, String digest) {
+    return new ConfigObserved(atMs, node, version, digest);
+  }
+
+  /** A step with one slot, with a poll of a trainer at version 7, bound 1, and more records. */
+  private static List<HistoryRecord> step(HistoryRecord... more) {
+    List<HistoryRecord> all = new ArrayList<>();
+    all.add(new StepOpened(1, "t", 3, 1, 1));
+    all.add(new PollSent(2, "poll-1", "t", 3, "n1", 7));
+    all.addAll(List.of(more));
+    return all;
+  }
+
+  static Stream<Arguments> broken() {
+    EngineProduced made = produced("s", 0, 7, " a b");
+    return Stream.of(
+        arguments(
+            "version that did not produce it",
+            Promise.TRUE_VERSIONS,
+            step(produced("s", 0, 6, " a b"), sample("poll-1", 0, " a b", SPAN))),
+        arguments(
+            "second version hidden",
+            Promise.TRUE_VERSIONS,
+            step(
+                produced("s", 0, 7, " a"),
+                produced("s", 1, 8, " b"),
+                sample("poll-1", 0, " a b", SPAN))),
+        arguments(
+            "spans end early",
+            Promise.TRUE_VERSIONS,
+            step(made, sample("poll-1", 0, " a b", List.of(new Span(7, 0, 1))))),
+        arguments(
+            "spans leave a gap",
+            Promise.TRUE_VERSIONS,
+            step(made, sample("poll-1", 0, " a b", List.of(new Span(7, 1, 2))))),
+        arguments(
+            "no span", Promise.TRUE_VERSIONS, step(made, sample("poll-1", 0, " a b", List.of()))),
+        arguments(
+            "too old",
+            Promise.BOUNDED_STALENESS,
+            step(
+                produced("s", 0, 5, " a b"),
+                sample("poll-1", 0, " a b", List.of(new Span(5, 0, 2))))),
+        arguments(
+            "received twice",
+            Promise.EXACTLY_ONCE,
+            step(made, sample("poll-1", 0, " a b", SPAN), sample("poll-1", 0, " a b", SPAN))),
+        arguments("never received", Promise.EXACTLY_ONCE, step(made)),
+        arguments(
+            "slot that the step does not have",
+            Promise.EXACTLY_ONCE,
+            step(made, sample("poll-1", 0, " a b", SPAN), sample("poll-1", 1, " a b", SPAN))),
+        arguments(
+            "taken from an abandoned poll",
+            Promise.EXACTLY_ONCE,
+            step(
+                made,
+                new PollEnded(3, "poll-1", PollEnd.ABANDONED),
+                sample("poll-1", 0, " a b", SPAN))),
+        arguments(
+            "sample cut short",
+            Promise.WHOLE_ANSWER,
+            step(produced("s", 0, 7, " a"), sample("poll-1", 0, " a", SPAN))),
+        arguments(
+            "answer cut short",
+            Promise.WHOLE_ANSWER,
+            List.of(completion(), made, new RequestAnswered(9, "r1", " a", 2))),
+        arguments(
+            "text of another prompt",
+            Promise.WHOLE_ANSWER,
+            List.of(completion(), made, new RequestAnswered(9, "r1", " a c", 2))),
+        arguments(
+            "empty answer",
+            Promise.WHOLE_ANSWER,
+            List.of(completion(), new RequestAnswered(9, "r1", "", 0))),
+        arguments(
+            "answer of another booking",
+            Promise.WHOLE_ANSWER,
+            List.of(booking("r1", "k"), new RequestAnswered(9, "r1", "booked 2", 0))),
+        arguments(
+            "second answer",
+            Promise.WHOLE_ANSWER,
+            List.of(
+                booking("r1", "k"),
+                new RequestAnswered(9, "r1", "booked 1", 0),
+                new RequestBroken(10, "r1", true))),
+        arguments("no answer at all", Promise.WHOLE_ANSWER, List.of(booking("r1", "k"))),
+        arguments(
+            "refused call that ran",
+            Promise.TRUE_REFUSAL,
+            List.of(
+                booking("r1", "k"),
+                new CallExecuted(5, "e1", "r1", "k"),
+                new RequestRefused(9, "r1", "overloaded", "not-run"))),
+        arguments(
+            "refused completion that ran",
+            Promise.TRUE_REFUSAL,
+            List.of(
+                completion(),
+                produced("r1", 0, 7, " a b"),
+                new RequestRefused(9, "r1", "overloaded", "not-run"))),
+        arguments(
+            "key executed twice",
+            Promise.AT_MOST_ONCE,
+            List.of(
+                booking("r1", "k"),
+                booking("r2", "k"),
+                new CallExecuted(5, "e1", "r1", "k"),
+                new CallExecuted(6, "e2", "r2", "k"),
+                new RequestAnswered(9, "r1", "booked 1", 0),
+                new RequestAnswered(9, "r2", "booked 1", 0))),
+        arguments(
+            "call without a key executed twice",
+            Promise.AT_MOST_ONCE,
+            List.of(
+                booking("r1", null),
+                new CallExecuted(5, "e1", "r1", null),
+                new CallExecuted(6, "e2", "r1", null),
+                new RequestAnswered(9, "r1", "booked 1", 0))),
+        arguments(
+            "work after the grace period",
+            Promise.NO_WORK_WHEN_LEAVING,
+            List.of(new EndpointLeaving(100, "e1"), new WorkReceived(3_101, "e1", "r1"))),
+        arguments(
+            "request cut off by a stop",
+            Promise.GRACEFUL_STOP,
+            List.of(
+                booking("r1", "k"),
+                new StopBegan(5, "n1"),
+                new RequestBroken(9, "r1", true),
+                new StopEnded(10, "n1", 0))),
+        arguments(
+            "request refused in flight by a stop",
+            Promise.GRACEFUL_STOP,
+            List.of(
+                booking("r1", "k"),
+                new StopBegan(5, "n1"),
+                new RequestRefused(9, "r1", "stopping", "unknown"),
+                new StopEnded(10, "n1", 0))),
+        arguments(
+            "poll cut off by a stop",
+            Promise.GRACEFUL_STOP,
+            step(
+                made,
+                new StopBegan(5, "n1"),
+                new PollEnded(6, "poll-1", PollEnd.BROKEN),
+                new StopEnded(10, "n1", 0),
+                new PollSent(11, "poll-2", "t", 3, "n2", 7),
+                sample("poll-2", 0, " a b", SPAN))),
+        arguments(
+            "stop with an exit code",
+            Promise.GRACEFUL_STOP,
+            List.of(new StopBegan(5, "n1"), new StopEnded(10, "n1", 137))),
+        arguments("stop without an end", Promise.GRACEFUL_STOP, List.of(new StopBegan(5, "n1"))),
+        arguments(
+            "configuration not in force in time",
+            Promise.DURABLE_CONFIGURATION,
+            List.of(new ConfigAccepted(100, 4), seen(7_101, "n1", 3, "c"))),
+        arguments(
+            "configuration that reverts",
+            Promise.DURABLE_CONFIGURATION,
+            List.of(seen(1, "n1", 4, "d"), seen(2, "n1", 3, "c"))),
+        arguments(
+            "two contents of one version",
+            Promise.DURABLE_CONFIGURATION,
+            List.of(seen(1, "n1", 4, "d"), seen(2, "n2", 4, "x"))),
+        arguments(
+            "not in force in time after a cut",
+            Promise.DURABLE_CONFIGURATION,
+            List.of(
+                new ConfigAccepted(100, 4),
+                new CutBegan(50, "n1"),
+                new CutEnded(9_000, "n1"),
+                seen(16_001, "n1", 3, "c"))));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("broken")
+  void findsWhatIsBroken(String name, Promise promise, List<HistoryRecord> records) {
+    List<Violation> violations = InvariantChecker.check(historyOf(records));
+    assertThat(violations).isNotEmpty().allMatch(violation -> violation.promise() == promise);
+    assertThat(violations).allMatch(violation -> records.containsAll(violation.evidence()));
+  }
+
+  static Stream<Arguments> clean() {
+    return Stream.of(
+        arguments("nothing", List.of()),
+        arguments(
+            "a sample of two versions within the bound",
+            step(
+                produced("s", 0, 6, " a"),
+                produced("s", 1, 7, " b"),
+                sample("poll-1", 0, " a b", List.of(new Span(6, 0, 1), new Span(7, 1, 2))),
+                new PollEnded(21, "poll-1", PollEnd.ANSWERED))),
+        arguments(
+            "a lost poll, repeated",
+            step(
+                produced("s", 0, 7, " a b"),
+                new PollEnded(3, "poll-1", PollEnd.BROKEN),
+                new PollSent(4, "poll-2", "t", 3, "n2", 7),
+                sample("poll-2", 0, " a b", SPAN))),
+        arguments(
+            "a completion produced by two engines",
+            List.of(
+                completion(),
+                produced("r1", 0, 7, " a"),
+                produced("r1", 1, 8, " b"),
+                new RequestAnswered(9, "r1", " a b", 2))),
+        arguments(
+            "a keyed call sent twice, executed once",
+            List.of(
+                booking("r1", "k"),
+                booking("r2", "k"),
+                new CallExecuted(5, "e1", "r1", "k"),
+                new RequestBroken(6, "r1", true),
+                new RequestAnswered(9, "r2", "booked 1", 0))),
+        arguments(
+            "a refused call, sent again",
+            List.of(
+                booking("r1", "k"),
+                new RequestRefused(2, "r1", "overloaded", "not-run"),
+                booking("r2", "k"),
+                new CallExecuted(5, "e1", "r2", "k"),
+                new RequestAnswered(9, "r2", "booked 1", 0))),
+        arguments(
+            "work within the grace period and after the return",
+            List.of(
+                new EndpointLeaving(100, "e1"),
+                new WorkReceived(3_100, "e1", "r1"),
+                new EndpointReturned(9_000, "e1"),
+                new WorkReceived(9_001, "e1", "r2"))),
+        arguments(
+            "a planned stop that refuses and ends",
+            List.of(
+                booking("r1", "k"),
+                new StopBegan(5, "n1"),
+                new RequestRefused(6, "r1", "stopping", "not-run"),
+                new StopEnded(10, "n1", 0))),
+        arguments(
+            "a configuration that spreads, late on a node that was cut off",
+            List.of(
+                new ConfigAccepted(100, 4),
+                new CutBegan(50, "n2"),
+                seen(200, "n1", 4, "d"),
+                seen(8_000, "n2", 3, "c"),
+                new CutEnded(9_000, "n2"),
+                seen(16_001, "n2", 4, "d"))));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("clean")
+  void passesWhatIsClean(String name, List<HistoryRecord> records) {
+    assertThat(InvariantChecker.check(historyOf(records))).isEmpty();
+  }
+
+  @Test
+  void everyPromiseIsSeenToFail() {
+    assertThat(broken().map(row -> (Promise) row.get()[1]).distinct())
+        .containsExactlyInAnyOrder(Promise.values());
+  }
+
+  @Test
+  void historySurvivesItsExport() {
+    History original = new History();
+    Stream.concat(broken(), clean())
+        .map(row -> row.get()[row.get().length - 1])
+        .forEach(
+            records -> ((List<?>) records).forEach(item -> original.add((HistoryRecord) item)));
+    History copy = new History();
+    copy.addJsonLines(original.toJsonLines().lines());
+    assertThat(copy.records()).isEqualTo(original.records());
+  }
+
+  private static History historyOf(List<HistoryRecord> records) {
+    History history = new History();
+    records.forEach(history::add);
+    return history;
+  }
+}
