--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/request/FairQueue.java
@@ -0,0 +1,117 @@
+package org.sycamoretrack.core.request;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * A queue that is fair between flows: start-time fair queueing over token costs.
+ *
+ * <p>Each flow has a start tag, the normalised cost that it has been served so far. The flow with
+ * the smallest tag is served next, and its tag rises by {@code cost / share}. A flow that becomes
+ * active starts at the tag that is served now, so that it can't save up service while idle. Inside
+ * a flow, entries leave by rank, then in order of arrival.
+ *
+ * <p>Example: flows a and b of share 1 and 2 queue entries of cost 10 each. Tags begin at 0; a is
+ * served (a=10), b is served twice (b=5, then 10), and so on: b gets two entries for each of a.
+ */
+final class FairQueue<T> {
+  private static final int PRUNE_ABOVE_FLOWS = 64;
+
+  private final Map<String, FlowState<T>> flows = new HashMap<>();
+  private final TreeSet<FlowState<T>> active =
+      new TreeSet<>(
+          Comparator.<FlowState<T>>comparingDouble(flow -> flow.startTag)
+              .thenComparing(flow -> flow.key));
+  private double virtualTime;
+  private int size;
+  private long queuedTokens;
+
+  void add(QueuedRequest<T> entry) {
+    FlowState<T> flow = flows.get(entry.flow.key());
+    if (flow == null) {
+      pruneIdleFlows();
+      flow = new FlowState<>(entry.flow.key());
+      flows.put(flow.key, flow);
+    }
+    if (flow.entries.isEmpty()) {
+      flow.startTag = Math.max(flow.startTag, virtualTime);
+      active.add(flow);
+    }
+    flow.entries.add(entry);
+    size++;
+    queuedTokens += entry.costTokens;
+  }
+
+  /** Returns the entry to be served next, or null. */
+  QueuedRequest<T> peek() {
+    return active.isEmpty() ? null : active.first().entries.first();
+  }
+
+  /** Takes the entry to be served next and charges its flow; null when there is none. */
+  QueuedRequest<T> poll() {
+    QueuedRequest<T> entry = peek();
+    if (entry == null) {
+      return null;
+    }
+    FlowState<T> flow = active.pollFirst();
+    virtualTime = flow.startTag;
+    flow.startTag += entry.costTokens / entry.flow.share();
+    flow.entries.remove(entry);
+    if (!flow.entries.isEmpty()) {
+      active.add(flow);
+    }
+    forget(entry);
+    return entry;
+  }
+
+  /** Removes an entry without charging its flow. */
+  void remove(QueuedRequest<T> entry) {
+    FlowState<T> flow = flows.get(entry.flow.key());
+    if (flow == null || !flow.entries.remove(entry)) {
+      return;
+    }
+    if (flow.entries.isEmpty()) {
+      active.remove(flow);
+    }
+    forget(entry);
+  }
+
+  int size() {
+    return size;
+  }
+
+  int size(String flowKey) {
+    FlowState<T> flow = flows.get(flowKey);
+    return flow == null ? 0 : flow.entries.size();
+  }
+
+  long queuedTokens() {
+    return queuedTokens;
+  }
+
+  private void forget(QueuedRequest<T> entry) {
+    size--;
+    queuedTokens -= entry.costTokens;
+  }
+
+  private void pruneIdleFlows() {
+    if (flows.size() > Math.max(PRUNE_ABOVE_FLOWS, 2 * active.size())) {
+      flows.values().removeIf(flow -> flow.entries.isEmpty() && flow.startTag <= virtualTime);
+    }
+  }
+
+  private static final class FlowState<T> {
+    final String key;
+    final TreeSet<QueuedRequest<T>> entries =
+        new TreeSet<>(
+            Comparator.<QueuedRequest<T>>comparingInt(entry -> entry.rank)
+                .thenComparingLong(entry -> entry.sequence));
+    double startTag;
+
+    FlowState(String key) {
+      this.key = key;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/request/PoisonRegistry.java
@@ -0,0 +1,219 @@
+package org.sycamoretrack.core.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Finds requests that crash the endpoints that run them.
+ *
+ * <p>When an endpoint dies, the fingerprints of all requests that it ran are charged with this
+ * death. A fingerprint with one charge is a suspect: at most one suspect runs on an endpoint at a
+ * time, the others wait or go elsewhere. When the endpoint of a suspect dies, the suspect gets its
+ * second charge and is quarantined for a bounded time, and its neighbours, which were no suspects,
+ * get their first. A suspect that ends well is cleared.
+ *
+ * <p>So two innocents never share a second death with the poison: the first death makes them
+ * suspects, and from then on each runs without another suspect beside it.
+ *
+ * <p>Example: poison p and innocents a, b run on x; x dies: p, a and b are suspects. a runs on y
+ * and ends: cleared. p runs on y beside the new c; y dies: p is quarantined, c is a suspect. b and
+ * c run alone of their kind and are cleared.
+ *
+ * <p>Charges name the death, so that charges from other nodes can be merged in any order and any
+ * number of times. Not thread-safe.
+ */
+public final class PoisonRegistry {
+  private static final int CHARGES_TO_QUARANTINE = 2;
+
+  private final long quarantineMs;
+  private final long chargeTtlMs;
+  private final Map<String, Charges> chargesByFingerprint = new HashMap<>();
+  private final Map<String, Map<String, Integer>> runningByEndpoint = new HashMap<>();
+
+  /** Whether a request may run on an endpoint. */
+  public enum Verdict {
+    /** It may run. */
+    RUN,
+    /** It is a suspect and another suspect runs on the endpoint: wait, or choose another. */
+    HOLD,
+    /** It is quarantined: refuse it. */
+    QUARANTINED
+  }
+
+  /**
+   * A charge as nodes tell it to each other.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param deathId names the death, unique among all nodes
+   * @param atMs when the endpoint died
+   */
+  public record Charge(String fingerprint, String deathId, long atMs) {}
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param quarantineMs how long a quarantine lasts after the last charge
+   * @param chargeTtlMs how long a single charge counts
+   */
+  public PoisonRegistry(long quarantineMs, long chargeTtlMs) {
+    this.quarantineMs = quarantineMs;
+    this.chargeTtlMs = chargeTtlMs;
+  }
+
+  /**
+   * Says whether a request may run on an endpoint now. Nothing is noted.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoint the endpoint's name
+   * @param nowMs the time now
+   */
+  public Verdict verdict(String fingerprint, String endpoint, long nowMs) {
+    if (isQuarantined(fingerprint, nowMs)) {
+      return Verdict.QUARANTINED;
+    }
+    boolean blocked = isSuspect(fingerprint, nowMs) && runsSuspect(endpoint, nowMs);
+    return blocked ? Verdict.HOLD : Verdict.RUN;
+  }
+
+  /**
+   * Notes that a request starts on an endpoint.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoint the endpoint's name
+   */
+  public void onStart(String fingerprint, String endpoint) {
+    runningByEndpoint
+        .computeIfAbsent(endpoint, name -> new HashMap<>())
+        .merge(fingerprint, 1, Integer::sum);
+  }
+
+  /**
+   * Notes that a request ended well: its charges are dropped, unless it is quarantined.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoint the endpoint's name
+   * @param nowMs the time now
+   */
+  public void onSuccess(String fingerprint, String endpoint, long nowMs) {
+    onEnd(fingerprint, endpoint);
+    if (!isQuarantined(fingerprint, nowMs)) {
+      chargesByFingerprint.remove(fingerprint);
+    }
+  }
+
+  /**
+   * Notes that a request ended otherwise: cancelled or failed while the endpoint lives.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoint the endpoint's name
+   */
+  public void onEnd(String fingerprint, String endpoint) {
+    Map<String, Integer> running = runningByEndpoint.get(endpoint);
+    if (running == null) {
+      return;
+    }
+    running.computeIfPresent(fingerprint, (key, count) -> count == 1 ? null : count - 1);
+    if (running.isEmpty()) {
+      runningByEndpoint.remove(endpoint);
+    }
+  }
+
+  /**
+   * Notes that an endpoint died; its requests have ended by this.
+   *
+   * @param endpoint the endpoint's name
+   * @param deathId names the death, unique among all nodes
+   * @param nowMs the time now
+   * @return the charges to be told to the other nodes
+   */
+  public List<Charge> onEndpointDeath(String endpoint, String deathId, long nowMs) {
+    Map<String, Integer> running = runningByEndpoint.remove(endpoint);
+    if (running == null) {
+      return List.of();
+    }
+    Set<String> charged = new HashSet<>(running.keySet());
+    List<Charge> charges = new ArrayList<>();
+    for (String fingerprint : charged) {
+      Charge charge = new Charge(fingerprint, deathId, nowMs);
+      merge(charge);
+      charges.add(charge);
+    }
+    return charges;
+  }
+
+  /**
+   * Takes over a charge, of this node or another.
+   *
+   * @param charge the charge
+   */
+  public void merge(Charge charge) {
+    Charges charges =
+        chargesByFingerprint.computeIfAbsent(charge.fingerprint(), key -> new Charges());
+    if (charges.deathIds.size() < CHARGES_TO_QUARANTINE && charges.deathIds.add(charge.deathId())) {
+      charges.lastAtMs = Math.max(charges.lastAtMs, charge.atMs());
+    }
+  }
+
+  /**
+   * Returns whether a request is to be refused.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param nowMs the time now
+   */
+  public boolean isQuarantined(String fingerprint, long nowMs) {
+    Charges charges = chargesByFingerprint.get(fingerprint);
+    return charges != null
+        && charges.deathIds.size() >= CHARGES_TO_QUARANTINE
+        && nowMs < charges.lastAtMs + quarantineMs;
+  }
+
+  /**
+   * Returns whether a request has been charged once and is not cleared.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param nowMs the time now
+   */
+  public boolean isSuspect(String fingerprint, long nowMs) {
+    Charges charges = chargesByFingerprint.get(fingerprint);
+    return charges != null
+        && charges.deathIds.size() < CHARGES_TO_QUARANTINE
+        && nowMs < charges.lastAtMs + chargeTtlMs;
+  }
+
+  /**
+   * Returns the fingerprints that are quarantined.
+   *
+   * @param nowMs the time now
+   */
+  public List<String> quarantined(long nowMs) {
+    return chargesByFingerprint.keySet().stream()
+        .filter(fingerprint -> isQuarantined(fingerprint, nowMs))
+        .sorted()
+        .toList();
+  }
+
+  /**
+   * Drops what no longer counts; call it now and then.
+   *
+   * @param nowMs the time now
+   */
+  public void expire(long nowMs) {
+    chargesByFingerprint
+        .keySet()
+        .removeIf(key -> !isQuarantined(key, nowMs) && !isSuspect(key, nowMs));
+  }
+
+  private boolean runsSuspect(String endpoint, long nowMs) {
+    return runningByEndpoint.getOrDefault(endpoint, Map.of()).keySet().stream()
+        .anyMatch(running -> isSuspect(running, nowMs));
+  }
+
+  private static final class Charges {
+    final Set<String> deathIds = new HashSet<>();
+    long lastAtMs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/request/QueuedRequest.java
@@ -0,0 +1,32 @@
+package org.sycamoretrack.core.request;
+
+/** One entry of an {@link AdmissionQueue}. */
+final class QueuedRequest<T> {
+  final T item;
+  final RequestClass requestClass;
+  final Flow flow;
+  final long costTokens;
+  final long deadlineMs;
+  final long queuedAtMs;
+  final int rank;
+  final long sequence;
+
+  QueuedRequest(
+      T item,
+      RequestClass requestClass,
+      Flow flow,
+      long costTokens,
+      long deadlineMs,
+      long queuedAtMs,
+      int rank,
+      long sequence) {
+    this.item = item;
+    this.requestClass = requestClass;
+    this.flow = flow;
+    this.costTokens = costTokens;
+    this.deadlineMs = deadlineMs;
+    this.queuedAtMs = queuedAtMs;
+    this.rank = rank;
+    this.sequence = sequence;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/connection/EndpointStatsTest.java
@@ -0,0 +1,91 @@
+package org.sycamoretrack.core.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.sycamoretrack.core.connection.EjectionState.EJECTED;
+import static org.sycamoretrack.core.connection.EjectionState.IN_USE;
+import static org.sycamoretrack.core.connection.EjectionState.PROBE_DUE;
+import static org.sycamoretrack.core.connection.EjectionState.PROBING;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of {@link EndpointStats}. */
+class EndpointStatsTest {
+  private static final double MEDIAN_MS = 20;
+
+  private final EndpointStats stats = new EndpointStats();
+  private long nowMs = 10_000;
+
+  private void tokens(int count, double msPerToken) {
+    stats.onStart(nowMs);
+    stats.onFirstToken(nowMs, 40);
+    for (int i = 0; i < count; i++) {
+      nowMs += (long) msPerToken;
+      stats.onTokens(nowMs, msPerToken, 1);
+    }
+    stats.update(nowMs, MEDIAN_MS);
+    stats.onSuccess();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"20, IN_USE", "45, IN_USE", "60, EJECTED", "100, EJECTED"})
+  void ejectsEndpointsMuchSlowerThanThePool(double msPerToken, EjectionState expected) {
+    tokens(50, msPerToken);
+    assertThat(stats.ejection()).isEqualTo(expected);
+  }
+
+  @Test
+  void probesComeAfterThePauseWhichDoublesUntilOneIsFast() {
+    tokens(50, 100);
+    long pauseMs = 1_000;
+    for (int i = 0; i < 3; i++) {
+      nowMs += pauseMs - 1;
+      stats.update(nowMs, MEDIAN_MS);
+      assertThat(stats.ejection()).isEqualTo(EJECTED);
+      nowMs += 1;
+      stats.update(nowMs, MEDIAN_MS);
+      assertThat(stats.ejection()).isEqualTo(PROBE_DUE);
+      stats.onStart(nowMs);
+      assertThat(stats.ejection()).isEqualTo(PROBING);
+      stats.onTokens(nowMs, 90, 1);
+      stats.update(nowMs, MEDIAN_MS);
+      assertThat(stats.ejection()).isEqualTo(EJECTED);
+      stats.onSuccess();
+      pauseMs *= 2;
+    }
+    nowMs += pauseMs;
+    stats.update(nowMs, MEDIAN_MS);
+    tokens(5, 22);
+    assertThat(stats.ejection()).isEqualTo(IN_USE);
+  }
+
+  @Test
+  void failuresInARowEjectAndASuccessBetweenDoesNot() {
+    for (int i = 0; i < 2; i++) {
+      stats.onStart(nowMs);
+      stats.onFailure(nowMs);
+    }
+    stats.onStart(nowMs);
+    stats.onSuccess();
+    stats.onStart(nowMs);
+    stats.onFailure(nowMs);
+    assertThat(stats.ejection()).isEqualTo(IN_USE);
+    for (int i = 0; i < 2; i++) {
+      stats.onStart(nowMs);
+      stats.onFailure(nowMs);
+    }
+    assertThat(stats.ejection()).isEqualTo(EJECTED);
+    assertThat(stats.failures()).isEqualTo(5);
+    assertThat(stats.inFlight()).isZero();
+  }
+
+  @Test
+  void silenceCountsAsSlowness() {
+    tokens(50, 20);
+    stats.onStart(nowMs);
+    assertThat(stats.timePerTokenMs(nowMs + 500)).isEqualTo(500);
+    stats.update(nowMs + 500, MEDIAN_MS);
+    assertThat(stats.ejection()).isEqualTo(EJECTED);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/request/AdmissionQueueTest.java
@@ -0,0 +1,209 @@
+package org.sycamoretrack.core.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.sycamoretrack.core.request.RequestClass.INTERACTIVE;
+import static org.sycamoretrack.core.request.RequestClass.ROLLOUT;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tests of {@link AdmissionQueue}. */
+class AdmissionQueueTest {
+  private static final Flow TRACK = Flow.of("cut-patterns");
+  private static final long NEVER_MS = Long.MAX_VALUE;
+
+  private final AdmissionQueue<String> queue =
+      AdmissionQueue.builder()
+          .interactiveCapacity(20)
+          .rolloutCapacity(400)
+          .reserveShare(0.25)
+          .interactiveWeight(3)
+          .ageingMs(1_000)
+          .build();
+
+  private void offer(String item, RequestClass requestClass, Flow flow, long nowMs) {
+    assertThat(queue.offer(item, requestClass, flow, 10, NEVER_MS, nowMs)).isTrue();
+  }
+
+  private String admit(long nowMs, InFlight inFlight, int limit) {
+    return queue.poll(nowMs, inFlight, limit) instanceof Polled.Admitted<String> admitted
+        ? admitted.item()
+        : null;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // interactive, rollout, limit, expected
+    "0, 0, 8, short",
+    "0, 6, 8, short",
+    "1, 7, 8, short",
+    "2, 6, 8, ",
+    "0, 9, 8, short",
+    "2, 9, 8, ",
+    "8, 0, 8, ",
+  })
+  void interactiveWorkHasReservedSlots(int interactive, int rollout, int limit, String expected) {
+    offer("short", INTERACTIVE, TRACK, 0);
+    assertThat(admit(0, new InFlight(interactive, rollout), limit)).isEqualTo(expected);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, 0, 8, long", "0, 5, 8, long", "0, 6, 8, ", "4, 4, 8, ", "0, 0, 1, long"})
+  void rolloutWorkLeavesTheReserveFree(int interactive, int rollout, int limit, String expected) {
+    offer("long", ROLLOUT, TRACK, 0);
+    assertThat(admit(0, new InFlight(interactive, rollout), limit)).isEqualTo(expected);
+  }
+
+  @Test
+  void agedRolloutWorkGetsOneStartAfterTheWeight() {
+    offer("old", ROLLOUT, TRACK, 0);
+    offer("older", ROLLOUT, TRACK, 0);
+    for (int i = 0; i < 8; i++) {
+      offer("s" + i, INTERACTIVE, TRACK, 0);
+    }
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      order.add(admit(1_000, InFlight.NONE, 8));
+    }
+    assertThat(order).containsExactly("s0", "s1", "s2", "old", "s3", "s4", "s5", "older");
+  }
+
+  @Test
+  void youngRolloutWorkWaitsForAllInteractiveWork() {
+    offer("long", ROLLOUT, TRACK, 0);
+    for (int i = 0; i < 8; i++) {
+      offer("s" + i, INTERACTIVE, TRACK, 0);
+    }
+    for (int i = 0; i < 8; i++) {
+      assertThat(admit(999, InFlight.NONE, 8)).startsWith("s");
+    }
+    assertThat(admit(999, InFlight.NONE, 8)).isEqualTo("long");
+  }
+
+  @ParameterizedTest
+  @EnumSource(RequestClass.class)
+  void expiredEntriesComeOutEvenWithoutAFreeSlot(RequestClass requestClass) {
+    queue.offer("late", requestClass, TRACK, 10, 500, 0);
+    assertThat(queue.nextDeadlineMs()).isEqualTo(500);
+    assertThat(queue.poll(499, new InFlight(8, 8), 8)).isInstanceOf(Polled.Nothing.class);
+    assertThat(queue.poll(500, new InFlight(8, 8), 8))
+        .isEqualTo(new Polled.Expired<>("late", requestClass, 500));
+    assertThat(queue.size()).isZero();
+  }
+
+  @Test
+  void fullClassRefusesAndTheOtherDoesNot() {
+    for (int i = 0; i < 20; i++) {
+      offer("s" + i, INTERACTIVE, TRACK, 0);
+    }
+    assertThat(queue.offer("one more", INTERACTIVE, TRACK, 1, NEVER_MS, 0)).isFalse();
+    offer("long", ROLLOUT, TRACK, 0);
+    assertThat(queue.offer("long", ROLLOUT, TRACK, 1, NEVER_MS, 0)).isFalse();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 1", "1, 3", "2, 1"})
+  void flowsShareTokensByWeight(double shareA, double shareB) {
+    for (int i = 0; i < 150; i++) {
+      // Flow a queues twice as large entries; shares are shares of tokens, not of entries.
+      queue.offer("a" + i, ROLLOUT, new Flow("a", shareA), 20, NEVER_MS, 0);
+      queue.offer("b" + i, ROLLOUT, new Flow("b", shareB), 10, NEVER_MS, 0);
+    }
+    int tokensA = 0;
+    int tokensB = 0;
+    for (int i = 0; i < 100; i++) {
+      if (admit(0, InFlight.NONE, 8).startsWith("a")) {
+        tokensA += 20;
+      } else {
+        tokensB += 10;
+      }
+    }
+    assertThat(tokensA / shareA - tokensB / shareB).isBetween(-20.0, 20.0);
+  }
+
+  @Test
+  void idleFlowSavesUpNothing() {
+    for (int i = 0; i < 20; i++) {
+      offer("a" + i, ROLLOUT, Flow.of("a"), 0);
+      admit(0, InFlight.NONE, 8);
+    }
+    for (int i = 0; i < 10; i++) {
+      offer("x" + i, ROLLOUT, Flow.of("a"), 0);
+      offer("y" + i, ROLLOUT, Flow.of("b"), 0);
+    }
+    List<String> firstFour = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      firstFour.add(admit(0, InFlight.NONE, 8).substring(0, 1));
+    }
+    assertThat(firstFour.stream().filter("y"::equals).count()).isBetween(2L, 3L);
+  }
+
+  @Test
+  void lowerRankGoesFirstInsideAFlow() {
+    queue.offer("step 13", ROLLOUT, TRACK, 1, NEVER_MS, 0, 13);
+    queue.offer("step 12", ROLLOUT, TRACK, 1, NEVER_MS, 0, 12);
+    assertThat(admit(0, InFlight.NONE, 8)).isEqualTo("step 12");
+  }
+
+  @Test
+  void removedItemsNeverComeOut() {
+    offer("gone", ROLLOUT, TRACK, 0);
+    assertThat(queue.remove("gone")).isTrue();
+    assertThat(queue.remove("gone")).isFalse();
+    assertThat(queue.poll(0, InFlight.NONE, 8)).isInstanceOf(Polled.Nothing.class);
+    assertThat(queue.queuedTokens()).isZero();
+  }
+
+  /** Each item leaves exactly once, and the limits hold, whatever the order of events. */
+  @Property(tries = 200)
+  void everyItemLeavesOnce(
+      @ForAll @Size(max = 120) List<@IntRange(max = 999) Integer> events,
+      @ForAll @IntRange(min = 1, max = 12) int limit) {
+    AdmissionQueue<Integer> bounded =
+        AdmissionQueue.builder().interactiveCapacity(10).rolloutCapacity(10).build();
+    Set<Integer> queued = new HashSet<>();
+    InFlight inFlight = InFlight.NONE;
+    int nextItem = 0;
+    long nowMs = 0;
+    for (int event : events) {
+      nowMs += event % 7;
+      RequestClass requestClass = event % 2 == 0 ? INTERACTIVE : ROLLOUT;
+      if (event % 5 < 3) {
+        long deadlineMs = nowMs + event % 40;
+        if (bounded.offer(nextItem, requestClass, Flow.of("f" + event % 3), 5, deadlineMs, nowMs)) {
+          queued.add(nextItem);
+        }
+        nextItem++;
+      } else if (event % 5 == 3) {
+        assertThat(bounded.remove(event % 50)).isEqualTo(queued.remove(event % 50));
+      } else {
+        inFlight = InFlight.NONE;
+      }
+      boolean more = true;
+      while (more) {
+        switch (bounded.poll(nowMs, inFlight, limit)) {
+          case Polled.Admitted<Integer> admitted -> {
+            assertThat(queued.remove(admitted.item())).isTrue();
+            inFlight = inFlight.plus(admitted.requestClass());
+          }
+          case Polled.Expired<Integer> expired ->
+              assertThat(queued.remove(expired.item())).isTrue();
+          case Polled.Nothing<Integer> nothing -> more = false;
+        }
+      }
+      assertThat(inFlight.rollout()).isLessThanOrEqualTo(limit);
+      assertThat(inFlight.total()).isLessThanOrEqualTo(limit + bounded.reservedSlots(limit));
+      assertThat(bounded.size()).isEqualTo(queued.size());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/request/PoisonRegistryTest.java
@@ -0,0 +1,114 @@
+package org.sycamoretrack.core.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.sycamoretrack.core.request.PoisonRegistry.Verdict.HOLD;
+import static org.sycamoretrack.core.request.PoisonRegistry.Verdict.QUARANTINED;
+import static org.sycamoretrack.core.request.PoisonRegistry.Verdict.RUN;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link PoisonRegistry}. */
+class PoisonRegistryTest {
+  private static final long QUARANTINE_MS = 60_000;
+  private static final long CHARGE_TTL_MS = 600_000;
+
+  private final PoisonRegistry registry = new PoisonRegistry(QUARANTINE_MS, CHARGE_TTL_MS);
+
+  @Test
+  void secondDeathQuarantinesForABoundedTime() {
+    registry.onStart("p", "x");
+    assertThat(registry.onEndpointDeath("x", "x@1", 1_000)).hasSize(1);
+    assertThat(registry.verdict("p", "y", 1_000)).isEqualTo(RUN);
+    registry.onStart("p", "y");
+    registry.onEndpointDeath("y", "y@1", 2_000);
+    assertThat(registry.verdict("p", "z", 2_000 + QUARANTINE_MS - 1)).isEqualTo(QUARANTINED);
+    assertThat(registry.quarantined(2_000)).containsExactly("p");
+    registry.expire(2_000 + QUARANTINE_MS);
+    assertThat(registry.verdict("p", "z", 2_000 + QUARANTINE_MS)).isEqualTo(RUN);
+  }
+
+  @Test
+  void suspectsDoNotShareAnEndpoint() {
+    registry.onStart("p", "x");
+    registry.onStart("a", "x");
+    registry.onEndpointDeath("x", "x@1", 0);
+    registry.onStart("a", "y");
+    assertThat(registry.verdict("p", "y", 0)).isEqualTo(HOLD);
+    assertThat(registry.verdict("p", "z", 0)).isEqualTo(RUN);
+    assertThat(registry.verdict("fresh", "y", 0)).isEqualTo(RUN);
+    registry.onSuccess("a", "y", 0);
+    assertThat(registry.isSuspect("a", 0)).isFalse();
+    assertThat(registry.verdict("p", "y", 0)).isEqualTo(RUN);
+  }
+
+  @Test
+  void theSameDeathIsChargedOnceHoweverOftenItIsTold() {
+    registry.onStart("p", "x");
+    PoisonRegistry.Charge charge = registry.onEndpointDeath("x", "x@1", 0).getFirst();
+    registry.merge(charge);
+    assertThat(registry.isQuarantined("p", 0)).isFalse();
+    registry.merge(new PoisonRegistry.Charge("p", "y@1", 5));
+    assertThat(registry.isQuarantined("p", 5)).isTrue();
+  }
+
+  @Test
+  void successOfAnotherRunDoesNotLiftAQuarantine() {
+    registry.onStart("p", "x");
+    registry.onEndpointDeath("x", "x@1", 0);
+    registry.merge(new PoisonRegistry.Charge("p", "y@1", 5));
+    registry.onSuccess("p", "z", 6);
+    assertThat(registry.isQuarantined("p", 6)).isTrue();
+  }
+
+  /** Runs one poison among innocents until all else has ended, on endpoints that die of it only. */
+  @Property(tries = 200)
+  void onlyThePoisonIsQuarantined(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    PoisonRegistry poison = new PoisonRegistry(QUARANTINE_MS, CHARGE_TTL_MS);
+    Deque<String> waiting = new ArrayDeque<>();
+    for (int i = 0; i < 40; i++) {
+      waiting.add(i == 17 ? "poison" : "innocent-" + i);
+    }
+    Map<String, List<String>> running = new HashMap<>();
+    int deaths = 0;
+    for (int round = 0; round < 4_000 && !(waiting.isEmpty() && running.isEmpty()); round++) {
+      String endpoint = "e" + random.nextInt(4);
+      if (random.nextBoolean() && !waiting.isEmpty()) {
+        String request = waiting.poll();
+        switch (poison.verdict(request, endpoint, round)) {
+          case RUN -> {
+            poison.onStart(request, endpoint);
+            running.computeIfAbsent(endpoint, key -> new ArrayList<>()).add(request);
+          }
+          case HOLD -> waiting.add(request);
+          default -> assertThat(request).isEqualTo("poison");
+        }
+      } else if (running.containsKey(endpoint)) {
+        List<String> batch = running.get(endpoint);
+        String request = batch.get(random.nextInt(batch.size()));
+        if (request.equals("poison")) {
+          poison.onEndpointDeath(endpoint, "death-" + deaths++, round);
+          waiting.addAll(running.remove(endpoint));
+        } else {
+          poison.onSuccess(request, endpoint, round);
+          batch.remove(request);
+          if (batch.isEmpty()) {
+            running.remove(endpoint);
+          }
+        }
+      }
+    }
+    assertThat(deaths).isEqualTo(2);
+    assertThat(poison.quarantined(0)).containsExactly("poison");
+    assertThat(waiting).isEmpty();
+  }
+}
