--- a/core/src/main/java/org/sycamoretrack/core/request/StepState.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/StepState.java
@@ -46,6 +46,7 @@
   private final Sample[] samples;
   private final Map<Phase, BitSet> slotsByPhase = new EnumMap<>(Phase.class);
   private long droppedTokens;
+  private long finishedChars;
 
   /**
    * Creates the state of a step of which nothing was made yet.
@@ -116,6 +117,7 @@
       return false;
     }
     samples[slot] = sample;
+    finishedChars += sample.text().length();
     move(slot, Phase.FINISHED);
     return true;
   }
@@ -144,7 +146,7 @@
         if (phases[slot] == Phase.RUNNING) {
           needless.add(slot);
         }
-        samples[slot] = null;
+        release(slot);
         move(slot, Phase.RECEIVED);
       }
     }
@@ -207,6 +209,11 @@
     return count(Phase.RECEIVED);
   }
 
+  /** Returns the length of the texts that are kept, in characters. */
+  public long finishedChars() {
+    return finishedChars;
+  }
+
   /** Returns the tokens of finished samples that were dropped because they were too old. */
   public long droppedTokens() {
     return droppedTokens;
@@ -214,10 +221,17 @@
 
   private void drop(int slot) {
     droppedTokens += samples[slot].tokens();
-    samples[slot] = null;
+    release(slot);
     move(slot, Phase.WAITING);
   }
 
+  private void release(int slot) {
+    if (samples[slot] != null) {
+      finishedChars -= samples[slot].text().length();
+      samples[slot] = null;
+    }
+  }
+
   private int count(Phase phase) {
     return slotsByPhase.get(phase).cardinality();
   }
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/CallMessage.java
@@ -0,0 +1,141 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.daemon.connection.FieldReader;
+import org.sycamoretrack.daemon.connection.FieldWriter;
+import org.sycamoretrack.daemon.connection.PeerMessage;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/** The messages by which a node forwards a call with a whole answer. */
+sealed interface CallMessage extends PeerMessage {
+  /** Returns the id of the call, unique among those of its sender. */
+  long id();
+
+  /**
+   * A forwarded call.
+   *
+   * @param id the id
+   * @param api the interface
+   * @param method the HTTP method
+   * @param target path and query
+   * @param headers the headers
+   * @param body the body
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Request(
+      long id, String api, String method, String target, HttpHeaders headers, byte[] body)
+      implements CallMessage {
+    static final String TYPE = "call.request";
+
+    static Request of(long id, String api, HttpExchange exchange) {
+      return new Request(
+          id, api, exchange.method(), exchange.target(), exchange.headers(), exchange.body());
+    }
+
+    static Request read(FieldReader fields) {
+      HttpHeaders headers = new DefaultHttpHeaders();
+      List<String> flat = fields.strings("headers");
+      for (int i = 0; i + 1 < flat.size(); i += 2) {
+        headers.add(flat.get(i), flat.get(i + 1));
+      }
+      return new Request(
+          fields.integer("id"),
+          fields.string("api"),
+          fields.string("method"),
+          fields.string("target"),
+          headers,
+          fields.bytes("body"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      List<String> flat = new ArrayList<>();
+      headers.forEach(
+          header -> {
+            flat.add(header.getKey());
+            flat.add(header.getValue());
+          });
+      out.integer("id", id)
+          .string("api", api)
+          .string("method", method)
+          .string("target", target)
+          .strings("headers", flat)
+          .bytes("body", body);
+    }
+  }
+
+  /**
+   * The answer to a forwarded call.
+   *
+   * @param id the id
+   * @param answer the answer
+   */
+  record Answer(long id, HttpAnswer answer) implements CallMessage {
+    static final String TYPE = "call.answer";
+
+    static Answer read(FieldReader fields) {
+      Map<String, String> headers = new HashMap<>();
+      List<String> flat = fields.strings("headers");
+      for (int i = 0; i + 1 < flat.size(); i += 2) {
+        headers.put(flat.get(i), flat.get(i + 1));
+      }
+      HttpAnswer answer = new HttpAnswer(fields.int32("status"), headers, fields.bytes("body"));
+      return new Answer(fields.integer("id"), answer);
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      List<String> flat = new ArrayList<>();
+      answer
+          .headers()
+          .forEach(
+              (name, value) -> {
+                flat.add(name);
+                flat.add(value);
+              });
+      out.integer("id", id)
+          .integer("status", answer.status())
+          .strings("headers", flat)
+          .bytes("body", answer.body());
+    }
+  }
+
+  /**
+   * Gives a forwarded call up.
+   *
+   * @param id the id
+   */
+  record Cancel(long id) implements CallMessage {
+    static final String TYPE = "call.cancel";
+
+    static Cancel read(FieldReader fields) {
+      return new Cancel(fields.integer("id"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/CompletionApi.java
@@ -0,0 +1,98 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.daemon.process.NodeLimits;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/** Answers completion calls of the caller port, whole or streamed. */
+final class CompletionApi {
+  private static final int MAX_DEADLINE_MS = 3_600_000;
+  private static final int MAX_ID_CHARS = 128;
+
+  private final Generator generator;
+  private final Predicate<String> isModelPool;
+  private final NodeLimits limits;
+
+  /**
+   * Creates the interface.
+   *
+   * @param generator generates the answers
+   * @param isModelPool whether a pool of model engines of a name is in force
+   * @param limits the node's limits
+   */
+  CompletionApi(Generator generator, Predicate<String> isModelPool, NodeLimits limits) {
+    this.generator = generator;
+    this.isModelPool = isModelPool;
+    this.limits = limits;
+  }
+
+  /** Answers a call. */
+  void handle(HttpExchange exchange, boolean chat) {
+    CompletionCall call =
+        CompletionCall.parse(requestId(exchange.headers()), chat, exchange.body());
+    if (!isModelPool.test(call.model())) {
+      throw new SycamoreException(
+          ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no model pool " + call.model());
+    }
+    CompletionAnswer answer =
+        call.stream()
+            ? new StreamedCompletion(call, exchange)
+            : new WholeCompletion(call, exchange);
+    GenerationRequest request = request(call, exchange.headers());
+    Generation generation = generator.generate(request, answer, exchange.eventLoop());
+    exchange.onAbandoned(generation::cancel);
+  }
+
+  private GenerationRequest request(CompletionCall call, HttpHeaders headers) {
+    long deadlineMs = deadlineMs(headers, limits.defaultDeadlineMs());
+    long seed = call.seed() == null ? ThreadLocalRandom.current().nextLong(1L << 53) : call.seed();
+    return GenerationRequest.builder(call.id())
+        .pools(List.of(call.model()))
+        .prompt(call.prompt())
+        .maxTokens(call.maxTokens())
+        .seed(seed)
+        .requestClass(RequestClass.INTERACTIVE)
+        .flow(headers.get("x-customer", ""))
+        .deadlineNanos(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs))
+        .build();
+  }
+
+  /** Returns the time that a caller gives its request, in milliseconds. */
+  static long deadlineMs(HttpHeaders headers, int defaultMs) {
+    String text = headers.get("x-deadline-ms");
+    if (text == null) {
+      return defaultMs;
+    }
+    try {
+      long value = Long.parseLong(text);
+      if (value >= 1 && value <= MAX_DEADLINE_MS) {
+        return value;
+      }
+    } catch (NumberFormatException e) {
+      throw JsonFields.invalid("x-deadline-ms must be an integer, 1 to " + MAX_DEADLINE_MS);
+    }
+    throw JsonFields.invalid("x-deadline-ms must be 1 to " + MAX_DEADLINE_MS);
+  }
+
+  /** Returns the id that a caller gives its request, or a new one. */
+  static String requestId(HttpHeaders headers) {
+    String id = headers.get("x-request-id");
+    if (id == null || id.isEmpty()) {
+      return UUID.randomUUID().toString();
+    }
+    if (id.length() > MAX_ID_CHARS || !id.chars().allMatch(c -> c > ' ' && c < 0x7f && c != '/')) {
+      throw JsonFields.invalid(
+          "x-request-id must be at most " + MAX_ID_CHARS + " visible ASCII characters without /");
+    }
+    return id;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/Dispatcher.java
@@ -0,0 +1,103 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.EndpointSelector;
+import org.sycamoretrack.core.connection.RequestTraits;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.core.request.RetryBudget;
+
+/**
+ * Chooses an endpoint for each attempt of a request and carries on elsewhere when one fails.
+ *
+ * <p>The choice is made from the newest {@link RoutingTable} by an {@link EndpointSelector}; what
+ * an attempt has made is kept by a {@link GenerationRun}, which continues from there. Attempts that
+ * start from nothing after a failure are limited by a {@link RetryBudget} for each class.
+ *
+ * <p>Thread-safe; each run is confined to the event loop of its listener.
+ */
+public final class Dispatcher implements Generator {
+  private static final int PREFIX_CHARS = 64;
+
+  private final String zone;
+  private final Supplier<RoutingTable> routes;
+  private final EndpointGateway gateway;
+  private final RetryBudget interactiveBudget = new RetryBudget();
+  private final RetryBudget rolloutBudget = new RetryBudget();
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param zone the node's zone, whose endpoints are preferred
+   * @param routes gives the newest routing table
+   * @param gateway runs the attempts
+   */
+  public Dispatcher(String zone, Supplier<RoutingTable> routes, EndpointGateway gateway) {
+    this.zone = zone;
+    this.routes = routes;
+    this.gateway = gateway;
+  }
+
+  @Override
+  public Generation generate(
+      GenerationRequest request, GenerationListener listener, EventLoop loop) {
+    RetryBudget budget = budget(request.requestClass());
+    synchronized (budget) {
+      budget.onRequest();
+    }
+    GenerationRun run = new GenerationRun(this, request, listener, loop);
+    run.start();
+    return run;
+  }
+
+  private RetryBudget budget(RequestClass requestClass) {
+    return switch (requestClass) {
+      case INTERACTIVE -> interactiveBudget;
+      case ROLLOUT -> rolloutBudget;
+    };
+  }
+
+  /** Returns whether the budget allows one more attempt from nothing. */
+  boolean tryRetry(RequestClass requestClass) {
+    RetryBudget budget = budget(requestClass);
+    synchronized (budget) {
+      return budget.tryRetry();
+    }
+  }
+
+  EndpointGateway gateway() {
+    return gateway;
+  }
+
+  /** Returns a named endpoint, when it still is in service. */
+  Optional<Route> route(String endpoint) {
+    return routes.get().ofName(endpoint).filter(route -> route.view().inService());
+  }
+
+  /** Chooses an endpoint for the next attempt; empty when none may serve the request now. */
+  Optional<Route> choose(GenerationRequest request, Set<String> excluded) {
+    RoutingTable table = routes.get();
+    List<Route> candidates = table.ofPools(request.pools());
+    RequestTraits traits =
+        new RequestTraits(
+            request.requestClass(),
+            zone,
+            prefixHash(request.prompt()),
+            request.oldestVersion(),
+            Math.max(1, request.maxTokens() - request.priorTokens()),
+            excluded);
+    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    return new EndpointSelector(ThreadLocalRandom.current())
+        .choose(candidates.stream().map(Route::view).toList(), traits, nowMs)
+        .flatMap(table::ofName);
+  }
+
+  private static long prefixHash(String prompt) {
+    return prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length())).hashCode();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointDirectory.java
@@ -0,0 +1,86 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.process.NodeLimits;
+
+/**
+ * The workers of this node, one for each model engine that was used from here.
+ *
+ * <p>An engine that changes its address gets a new worker; what runs on the old one ends there.
+ * Thread-safe.
+ */
+public final class EndpointDirectory {
+  private final EventLoopGroup loops;
+  private final EngineClient client;
+  private final PoisonGuard poison;
+  private final NodeLimits limits;
+  private final Map<String, EndpointTarget> targets = new ConcurrentHashMap<>();
+  private final Map<String, EndpointWorker> workers = new ConcurrentHashMap<>();
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param loops carry the workers, one loop each
+   * @param client calls the engines
+   * @param poison the node's registry of requests that crash endpoints
+   * @param limits the node's limits
+   */
+  public EndpointDirectory(
+      EventLoopGroup loops, EngineClient client, PoisonGuard poison, NodeLimits limits) {
+    this.loops = loops;
+    this.client = client;
+    this.poison = poison;
+    this.limits = limits;
+  }
+
+  /**
+   * Sets which engines there are. Workers of others are forgotten.
+   *
+   * @param current all model engines of the configuration
+   */
+  public void setTargets(Collection<EndpointTarget> current) {
+    List<String> names = current.stream().map(EndpointTarget::name).toList();
+    current.forEach(target -> targets.put(target.name(), target));
+    targets.keySet().retainAll(names);
+    workers.keySet().retainAll(names);
+  }
+
+  /** Returns the workers that exist. */
+  Collection<EndpointWorker> workers() {
+    return workers.values();
+  }
+
+  /** Returns the worker of an engine, null when it was not used from here. */
+  EndpointWorker worker(String endpoint) {
+    return workers.get(endpoint);
+  }
+
+  /** Runs an attempt from this node. */
+  Generation runHere(String endpoint, GenerationRequest request, GenerationListener listener) {
+    EndpointTarget target = targets.get(endpoint);
+    if (target == null) {
+      listener.onFailed(
+          GenerationFailure.notRun(
+              ErrorCode.NO_ENDPOINT, "endpoint " + endpoint + " is not known here"));
+      return () -> {};
+    }
+    EndpointWorker worker =
+        workers.compute(
+            endpoint,
+            (name, known) ->
+                known != null && known.target().equals(target) ? known : newWorker(target));
+    return worker.run(request, listener);
+  }
+
+  private EndpointWorker newWorker(EndpointTarget target) {
+    EventLoop loop = loops.next();
+    return new EndpointWorker(target, loop, client, poison, limits);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointTask.java
@@ -0,0 +1,125 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sycamoretrack.daemon.platform.CompletionRequest;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.platform.EngineFailure;
+import org.sycamoretrack.daemon.platform.EngineListener;
+import org.sycamoretrack.daemon.process.NodeLimits;
+import org.sycamoretrack.transport.request.HttpCall;
+
+/**
+ * One attempt of a request at one endpoint, from its admission to its end. Confined to the event
+ * loop of its {@link EndpointWorker}.
+ */
+final class EndpointTask implements EngineListener {
+  private static final double NANOS_PER_MS = 1_000_000.0;
+  private static final AtomicLong ATTEMPTS = new AtomicLong();
+
+  private final EndpointWorker worker;
+  private final GenerationRequest request;
+  private final GenerationListener listener;
+  private HttpCall call;
+  private GenerationFailure failure;
+  private long lastNanos;
+  private boolean tokensSeen;
+  private boolean ended;
+
+  EndpointTask(EndpointWorker worker, GenerationRequest request, GenerationListener listener) {
+    this.worker = worker;
+    this.request = request;
+    this.listener = listener;
+  }
+
+  GenerationRequest request() {
+    return request;
+  }
+
+  String fingerprint() {
+    return request.fingerprint();
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  /** Sends the attempt to the engine. */
+  void send(EngineClient client, EndpointTarget target, NodeLimits limits, EventLoop loop) {
+    lastNanos = System.nanoTime();
+    long remainingMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - lastNanos);
+    CompletionRequest completion =
+        CompletionRequest.builder(request.id() + '.' + ATTEMPTS.incrementAndGet())
+            .model(target.model())
+            .prompt(request.prompt())
+            .maxTokens(request.maxTokens())
+            .seed(request.seed())
+            .continueFrom(request.priorText(), request.priorTokens())
+            .timeoutMs(Math.clamp(remainingMs, 1, Integer.MAX_VALUE))
+            .idleTimeoutMs(limits.streamIdleTimeoutMs())
+            .build();
+    call = client.complete(target.address(), completion, loop, this);
+  }
+
+  @Override
+  public void onTokens(String text, int tokens, long weightVersion) {
+    if (ended) {
+      return;
+    }
+    long nowNanos = System.nanoTime();
+    worker.onTokens((nowNanos - lastNanos) / NANOS_PER_MS, !tokensSeen, tokens, weightVersion);
+    lastNanos = nowNanos;
+    tokensSeen = true;
+    listener.onTokens(text, tokens, weightVersion);
+  }
+
+  @Override
+  public void onFinished(String finishReason) {
+    worker.onFinished(this, finishReason);
+  }
+
+  @Override
+  public void onFailed(EngineFailure engineFailure) {
+    worker.onFailed(this, engineFailure);
+  }
+
+  /** Tells the listener that the answer is whole. */
+  void finish(String finishReason) {
+    if (!ended) {
+      ended = true;
+      listener.onFinished(finishReason);
+    }
+  }
+
+  /** Keeps a failure to be told later. */
+  void setFailure(GenerationFailure failure) {
+    this.failure = failure;
+  }
+
+  /** Tells the listener of the failure that was kept. */
+  void failAsSet(boolean endpointCrashed) {
+    fail(
+        new GenerationFailure(
+            failure.code(), failure.outcome(), endpointCrashed, failure.message()));
+  }
+
+  /** Tells the listener of a failure. */
+  void fail(GenerationFailure reason) {
+    if (!ended) {
+      ended = true;
+      listener.onFailed(reason);
+    }
+  }
+
+  /** Ends the task without a word to the listener. */
+  void end() {
+    ended = true;
+  }
+
+  void cancelCall() {
+    if (call != null) {
+      call.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ErrorAnswers.java
@@ -0,0 +1,76 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** Writes errors in the form that {@code docs/API.md} gives. */
+public final class ErrorAnswers {
+  private static final String RETRY_AFTER_S = "1";
+
+  private ErrorAnswers() {}
+
+  /**
+   * Returns the body of an error.
+   *
+   * @param error the error
+   * @return {@code {"error": {"code", "outcome", "message"}}}
+   */
+  public static ObjectNode body(SycamoreException error) {
+    ObjectNode body = Json.object();
+    body.putObject("error")
+        .put("code", error.code().wireName())
+        .put("outcome", error.outcome().wireName())
+        .put("message", error.getMessage());
+    return body;
+  }
+
+  /**
+   * Returns the answer to a request that failed.
+   *
+   * @param error the error
+   */
+  public static HttpAnswer answer(SycamoreException error) {
+    HttpAnswer plain = HttpAnswer.json(error.code().httpStatus(), body(error));
+    if (error.outcome() != Outcome.NOT_RUN || !isTemporary(error.code())) {
+      return plain;
+    }
+    Map<String, String> headers = new HashMap<>(plain.headers());
+    headers.put("retry-after", RETRY_AFTER_S);
+    return new HttpAnswer(plain.status(), headers, plain.body());
+  }
+
+  private static boolean isTemporary(ErrorCode code) {
+    return switch (code) {
+      case OVERLOADED, NO_ENDPOINT, STOPPING, PLATFORM_UNAVAILABLE, PEER_UNAVAILABLE -> true;
+      default -> false;
+    };
+  }
+
+  /**
+   * Returns any failure as an error with a code.
+   *
+   * @param failure the failure, maybe wrapped by a future
+   * @return the error; {@link ErrorCode#INTERNAL} for one without a code
+   */
+  public static SycamoreException toError(Throwable failure) {
+    Throwable cause = failure;
+    while (cause instanceof CompletionException && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    if (cause instanceof SycamoreException error) {
+      return error;
+    }
+    if (cause instanceof IllegalArgumentException) {
+      return new SycamoreException(
+          ErrorCode.INVALID_REQUEST, Outcome.NOT_RUN, cause.getMessage(), cause);
+    }
+    return new SycamoreException(ErrorCode.INTERNAL, Outcome.UNKNOWN, cause.toString(), cause);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ForwardedExchange.java
@@ -0,0 +1,105 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpStream;
+
+/** A call that another node forwarded. It can be answered whole only. */
+final class ForwardedExchange implements HttpExchange {
+  private final CallMessage.Request request;
+  private final EventLoop loop;
+  private final Consumer<HttpAnswer> reply;
+  private final AtomicBoolean answered = new AtomicBoolean();
+  private boolean abandoned;
+  private Runnable abandonedAction;
+
+  ForwardedExchange(CallMessage.Request request, EventLoop loop, Consumer<HttpAnswer> reply) {
+    this.request = request;
+    this.loop = loop;
+    this.reply = reply;
+  }
+
+  @Override
+  public String method() {
+    return request.method();
+  }
+
+  @Override
+  public String path() {
+    int query = request.target().indexOf('?');
+    return query < 0 ? request.target() : request.target().substring(0, query);
+  }
+
+  @Override
+  public String target() {
+    return request.target();
+  }
+
+  @Override
+  public String queryParam(String name) {
+    List<String> values = new QueryStringDecoder(request.target()).parameters().get(name);
+    return values == null ? null : values.get(0);
+  }
+
+  @Override
+  public HttpHeaders headers() {
+    return request.headers();
+  }
+
+  @Override
+  public byte[] body() {
+    return request.body();
+  }
+
+  @Override
+  public EventLoop eventLoop() {
+    return loop;
+  }
+
+  @Override
+  public void respond(HttpAnswer answer) {
+    if (answered.compareAndSet(false, true)) {
+      reply.accept(answer);
+    }
+  }
+
+  @Override
+  public HttpStream startStream(int status, Map<String, String> headers) {
+    throw new UnsupportedOperationException("a forwarded call is answered whole");
+  }
+
+  @Override
+  public void abort() {
+    SycamoreException error =
+        new SycamoreException(ErrorCode.ENDPOINT_FAILED, Outcome.UNKNOWN, "the answer broke off");
+    respond(ErrorAnswers.answer(error));
+  }
+
+  @Override
+  public synchronized void onAbandoned(Runnable action) {
+    abandonedAction = action;
+    if (abandoned) {
+      loop.execute(action);
+    }
+  }
+
+  /** Marks the call as given up by the node that forwarded it. */
+  synchronized void abandon() {
+    if (!abandoned && !answered.get()) {
+      abandoned = true;
+      if (abandonedAction != null) {
+        loop.execute(abandonedAction);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/GenerationRun.java
@@ -0,0 +1,254 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.request.Backoff;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.process.LogEvent;
+
+/**
+ * One request from its first attempt to its end, across the endpoints that it meets.
+ *
+ * <p>An attempt that fails is followed by another one, which continues from the tokens made so far.
+ * The listener sees one unbroken answer; each chunk names the version that made it. What still
+ * arrives from an abandoned attempt is dropped, since it carries the number of its attempt.
+ *
+ * <p>A request that may not be repeated ends with the first failure after which it may have run.
+ *
+ * <p>Example: attempt 1 makes 120 tokens with version 7 and its engine dies; attempt 2 continues at
+ * token 120 on another engine with version 8. The listener gets 120 tokens of version 7, then the
+ * rest of version 8, and one end.
+ *
+ * <p>Confined to the event loop, but for {@link #cancel} and {@link #moveTo}.
+ */
+final class GenerationRun implements Generation {
+  private static final System.Logger LOG = System.getLogger(GenerationRun.class.getName());
+  private static final int MAX_ATTEMPTS = 8;
+  private static final int BACKOFF_MS = 20;
+  private static final int MAX_BACKOFF_MS = 500;
+  private static final int MAX_WAIT_FOR_ENDPOINT_MS = 5_000;
+
+  private final Dispatcher dispatcher;
+  private final GenerationRequest request;
+  private final GenerationListener listener;
+  private final EventLoop loop;
+  private final StringBuilder text;
+  private final Set<String> excluded = new HashSet<>();
+  private final Backoff backoff =
+      new Backoff(BACKOFF_MS, MAX_BACKOFF_MS, ThreadLocalRandom.current());
+  private int tokens;
+  private int tokensAtStart;
+  private int attempt;
+  private int failures;
+  private int waits;
+  private long waitingSinceNanos;
+  private Generation current;
+  private volatile String endpoint = "";
+  private boolean ended;
+
+  GenerationRun(
+      Dispatcher dispatcher,
+      GenerationRequest request,
+      GenerationListener listener,
+      EventLoop loop) {
+    this.dispatcher = dispatcher;
+    this.request = request;
+    this.listener = listener;
+    this.loop = loop;
+    this.text = new StringBuilder(request.priorText());
+    this.tokens = request.priorTokens();
+  }
+
+  /** Starts the first attempt. Called on the event loop. */
+  void start() {
+    waitingSinceNanos = System.nanoTime();
+    next();
+  }
+
+  private void next() {
+    if (ended) {
+      return;
+    }
+    if (System.nanoTime() - request.deadlineNanos() >= 0) {
+      fail(new GenerationFailure(ErrorCode.DEADLINE_EXCEEDED, outcome(), false, "out of time"));
+      return;
+    }
+    Optional<Route> route = dispatcher.choose(request, excluded);
+    if (route.isPresent()) {
+      begin(route.get());
+    } else {
+      waitForEndpoint();
+    }
+  }
+
+  private Outcome outcome() {
+    return tokens > 0 ? Outcome.RAN : Outcome.NOT_RUN;
+  }
+
+  private void waitForEndpoint() {
+    excluded.clear();
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - waitingSinceNanos);
+    if (waitedMs >= MAX_WAIT_FOR_ENDPOINT_MS) {
+      String message = "no endpoint of " + request.pools() + " is in service";
+      fail(new GenerationFailure(ErrorCode.NO_ENDPOINT, outcome(), false, message));
+      return;
+    }
+    later(backoff.waitMs(++waits));
+  }
+
+  private void later(long delayMs) {
+    loop.schedule(this::next, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void begin(Route route) {
+    attempt++;
+    tokensAtStart = tokens;
+    waits = 0;
+    endpoint = route.target().name();
+    GenerationRequest continued =
+        tokens == request.priorTokens()
+            ? request
+            : request.toBuilder().prior(text.toString(), tokens).build();
+    current = dispatcher.gateway().run(route, continued, new AttemptListener(attempt));
+  }
+
+  /** Returns the endpoint of the newest attempt, empty before the first. */
+  @Override
+  public String endpoint() {
+    return endpoint;
+  }
+
+  @Override
+  public void moveTo(String newEndpoint) {
+    onLoop(
+        () -> {
+          Optional<Route> route = dispatcher.route(newEndpoint);
+          if (!ended && current != null && route.isPresent()) {
+            current.cancel();
+            begin(route.get());
+          }
+        });
+  }
+
+  @Override
+  public void cancel() {
+    onLoop(
+        () -> {
+          ended = true;
+          if (current != null) {
+            current.cancel();
+          }
+        });
+  }
+
+  private void onAttemptTokens(String newText, int newTokens, long version) {
+    if (version < request.oldestVersion()) {
+      abandonStaleAttempt();
+      return;
+    }
+    text.append(newText);
+    tokens += newTokens;
+    listener.onTokens(newText, newTokens, version);
+  }
+
+  /** Leaves an engine that generates with weights that are too old for the request. */
+  private void abandonStaleAttempt() {
+    current.cancel();
+    current = null;
+    attempt++;
+    excluded.add(endpoint);
+    waitingSinceNanos = System.nanoTime();
+    later(backoff.waitMs(1));
+  }
+
+  private void onAttemptFailed(GenerationFailure failure) {
+    current = null;
+    failures++;
+    Outcome soFar = tokens > 0 ? Outcome.RAN : failure.outcome();
+    if (!mayContinue(failure, soFar)) {
+      fail(new GenerationFailure(failure.code(), soFar, false, failure.message()));
+      return;
+    }
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("attempt-failed")
+            .with("request", request.id())
+            .with("endpoint", endpoint)
+            .with("code", failure.code().wireName())
+            .with("tokens", tokens)
+            .with("reason", failure.message()));
+    excluded.add(endpoint);
+    waitingSinceNanos = System.nanoTime();
+    later(backoff.waitMs(Math.max(1, failures)));
+  }
+
+  private boolean mayContinue(GenerationFailure failure, Outcome soFar) {
+    boolean decided =
+        switch (failure.code()) {
+          case QUARANTINED, DEADLINE_EXCEEDED, INVALID_REQUEST -> true;
+          default -> false;
+        };
+    if (decided || (!request.repeatable() && soFar != Outcome.NOT_RUN)) {
+      return false;
+    }
+    boolean progressed = tokens > tokensAtStart;
+    return progressed || (failures < MAX_ATTEMPTS && dispatcher.tryRetry(request.requestClass()));
+  }
+
+  private void fail(GenerationFailure failure) {
+    if (!ended) {
+      ended = true;
+      listener.onFailed(failure);
+    }
+  }
+
+  private void onLoop(Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+
+  /** Receives one attempt and drops what it says after it was abandoned. */
+  private final class AttemptListener implements GenerationListener {
+    private final int number;
+
+    private AttemptListener(int number) {
+      this.number = number;
+    }
+
+    private void ifCurrent(Runnable action) {
+      onLoop(
+          () -> {
+            if (!ended && number == attempt) {
+              action.run();
+            }
+          });
+    }
+
+    @Override
+    public void onTokens(String newText, int newTokens, long version) {
+      ifCurrent(() -> onAttemptTokens(newText, newTokens, version));
+    }
+
+    @Override
+    public void onFinished(String finishReason) {
+      ifCurrent(
+          () -> {
+            ended = true;
+            listener.onFinished(finishReason);
+          });
+    }
+
+    @Override
+    public void onFailed(GenerationFailure failure) {
+      ifCurrent(() -> onAttemptFailed(failure));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PeerCalls.java
@@ -0,0 +1,149 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * Forwards calls with whole answers to other nodes over the peer link.
+ *
+ * <p>The handler at the other node sees an {@link HttpExchange} as if the caller had come to it. A
+ * call that gets no answer fails with {@link ErrorCode#PEER_UNAVAILABLE}: as not run when it was
+ * never sent, else with an unknown outcome.
+ *
+ * <p>Thread-safe.
+ */
+public final class PeerCalls {
+  private final PeerLink link;
+  private final EventLoopGroup loops;
+  private final Map<String, HttpHandler> handlers = new ConcurrentHashMap<>();
+  private final AtomicLong nextId = new AtomicLong();
+  private final Map<Long, Open> open = new ConcurrentHashMap<>();
+  private final Map<String, Map<Long, ForwardedExchange>> received = new ConcurrentHashMap<>();
+
+  /**
+   * Creates both sides and registers their messages.
+   *
+   * @param link the peer link
+   * @param loops carry timers and forwarded calls
+   */
+  public PeerCalls(PeerLink link, EventLoopGroup loops) {
+    this.link = link;
+    this.loops = loops;
+    link.onMessage(CallMessage.Request.TYPE, CallMessage.Request::read, this::onRequest);
+    link.onMessage(CallMessage.Answer.TYPE, CallMessage.Answer::read, this::onAnswer);
+    link.onMessage(CallMessage.Cancel.TYPE, CallMessage.Cancel::read, this::onCancel);
+    link.onDisconnected(this::onDisconnected);
+  }
+
+  /** A call that waits for its answer. */
+  private record Open(String nodeId, CompletableFuture<HttpAnswer> answer) {}
+
+  /**
+   * Sets who handles calls of an interface that other nodes forward to this one.
+   *
+   * @param api the interface
+   * @param handler the handler; it must answer whole
+   */
+  public void handle(String api, HttpHandler handler) {
+    handlers.put(api, handler);
+  }
+
+  /**
+   * Forwards a call.
+   *
+   * @param nodeId the node
+   * @param api the interface
+   * @param exchange the call; it is not answered here
+   * @param timeoutMs the longest time to wait for the answer
+   * @return the answer; cancelling it gives the call up
+   */
+  public CompletableFuture<HttpAnswer> forward(
+      String nodeId, String api, HttpExchange exchange, int timeoutMs) {
+    long id = nextId.incrementAndGet();
+    CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+    open.put(id, new Open(nodeId, answer));
+    answer.whenComplete((done, failure) -> onDone(nodeId, id, failure));
+    if (!link.send(nodeId, CallMessage.Request.of(id, api, exchange))) {
+      answer.completeExceptionally(unavailable(nodeId, Outcome.NOT_RUN));
+    } else {
+      loops
+          .next()
+          .schedule(
+              () -> answer.completeExceptionally(unavailable(nodeId, Outcome.UNKNOWN)),
+              timeoutMs,
+              TimeUnit.MILLISECONDS);
+    }
+    return answer;
+  }
+
+  private void onDone(String nodeId, long id, Throwable failure) {
+    if (open.remove(id) != null && failure != null) {
+      link.send(nodeId, new CallMessage.Cancel(id));
+    }
+  }
+
+  private static SycamoreException unavailable(String nodeId, Outcome outcome) {
+    return new SycamoreException(
+        ErrorCode.PEER_UNAVAILABLE, outcome, "node " + nodeId + " did not answer");
+  }
+
+  private void onAnswer(String from, CallMessage.Answer message) {
+    Open call = open.remove(message.id());
+    if (call != null) {
+      call.answer().complete(message.answer());
+    }
+  }
+
+  private void onDisconnected(String nodeId) {
+    open.forEach(
+        (id, call) -> {
+          if (call.nodeId().equals(nodeId)) {
+            call.answer().completeExceptionally(unavailable(nodeId, Outcome.UNKNOWN));
+          }
+        });
+    Map<Long, ForwardedExchange> orphans = received.remove(nodeId);
+    if (orphans != null) {
+      orphans.values().forEach(ForwardedExchange::abandon);
+    }
+  }
+
+  private void onRequest(String from, CallMessage.Request message) {
+    Map<Long, ForwardedExchange> ofNode =
+        received.computeIfAbsent(from, any -> new ConcurrentHashMap<>());
+    ForwardedExchange exchange =
+        new ForwardedExchange(
+            message,
+            loops.next(),
+            answer -> {
+              ofNode.remove(message.id());
+              link.send(from, new CallMessage.Answer(message.id(), answer));
+            });
+    ofNode.put(message.id(), exchange);
+    HttpHandler handler = handlers.get(message.api());
+    if (handler == null) {
+      SycamoreException error =
+          new SycamoreException(ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no api " + message.api());
+      exchange.respond(ErrorAnswers.answer(error));
+      return;
+    }
+    exchange.eventLoop().execute(() -> Router.handleSafely(handler, exchange));
+  }
+
+  private void onCancel(String from, CallMessage.Cancel message) {
+    ForwardedExchange exchange = received.getOrDefault(from, Map.of()).remove(message.id());
+    if (exchange != null) {
+      exchange.abandon();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PeerWork.java
@@ -0,0 +1,207 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.connection.PeerLink;
+
+/**
+ * Hands attempts to other nodes over the peer link, and runs those that other nodes hand over.
+ *
+ * <p>Sender's side: an attempt is open from its {@link WorkMessage.Submit} until its end arrives,
+ * it is cancelled or the connection to the node breaks; then it fails, as not run if the submit was
+ * never sent, else with an unknown outcome, since the other node may have run it. Receiver's side:
+ * attempts of a node whose connection breaks are cancelled, since nobody would get their end.
+ *
+ * <p>Thread-safe.
+ */
+public final class PeerWork {
+  private final PeerLink link;
+  private final EndpointDirectory endpoints;
+  private final BooleanSupplier accepting;
+  private final AtomicLong nextId = new AtomicLong();
+  private final Map<Long, Sent> sent = new ConcurrentHashMap<>();
+  private final Map<String, Map<Long, Generation>> received = new ConcurrentHashMap<>();
+
+  /**
+   * Creates both sides and registers their messages.
+   *
+   * @param link the peer link
+   * @param endpoints runs attempts on this node
+   * @param accepting whether this node takes new work
+   */
+  public PeerWork(PeerLink link, EndpointDirectory endpoints, BooleanSupplier accepting) {
+    this.link = link;
+    this.endpoints = endpoints;
+    this.accepting = accepting;
+    link.onMessage(WorkMessage.Submit.TYPE, WorkMessage.Submit::read, this::onSubmit);
+    link.onMessage(WorkMessage.Cancel.TYPE, WorkMessage.Cancel::read, this::onCancel);
+    link.onMessage(WorkMessage.Tokens.TYPE, WorkMessage.Tokens::read, this::onTokens);
+    link.onMessage(WorkMessage.Finished.TYPE, WorkMessage.Finished::read, this::onFinished);
+    link.onMessage(WorkMessage.Failed.TYPE, WorkMessage.Failed::read, this::onFailed);
+    link.onDisconnected(this::onDisconnected);
+  }
+
+  /** An attempt that another node runs for this one. */
+  private record Sent(String nodeId, GenerationListener listener) {}
+
+  /**
+   * Hands an attempt over.
+   *
+   * @param nodeId the node that looks after the endpoint
+   * @param endpoint the endpoint's name
+   * @param request what to generate
+   * @param listener receives the answer, on an event loop of the peer link
+   */
+  Generation submit(
+      String nodeId, String endpoint, GenerationRequest request, GenerationListener listener) {
+    long id = nextId.incrementAndGet();
+    sent.put(id, new Sent(nodeId, listener));
+    if (!link.send(nodeId, new WorkMessage.Submit(id, endpoint, request))) {
+      if (sent.remove(id) != null) {
+        listener.onFailed(
+            GenerationFailure.notRun(
+                ErrorCode.PEER_UNAVAILABLE, "node " + nodeId + " can't be reached"));
+      }
+      return () -> {};
+    }
+    return () -> {
+      if (sent.remove(id) != null) {
+        link.send(nodeId, new WorkMessage.Cancel(id));
+      }
+    };
+  }
+
+  /** Returns the number of attempts that other nodes run for this one. */
+  public int sentCount() {
+    return sent.size();
+  }
+
+  /** Returns the number of attempts that this node runs for others. */
+  public int receivedCount() {
+    return received.values().stream().mapToInt(Map::size).sum();
+  }
+
+  private void onTokens(String from, WorkMessage.Tokens message) {
+    Sent attempt = sent.get(message.id());
+    if (attempt != null) {
+      attempt.listener().onTokens(message.text(), message.tokens(), message.version());
+    }
+  }
+
+  private void onFinished(String from, WorkMessage.Finished message) {
+    Sent attempt = sent.remove(message.id());
+    if (attempt != null) {
+      attempt.listener().onFinished(message.finishReason());
+    }
+  }
+
+  private void onFailed(String from, WorkMessage.Failed message) {
+    Sent attempt = sent.remove(message.id());
+    if (attempt != null) {
+      attempt.listener().onFailed(message.failure());
+    }
+  }
+
+  private void onDisconnected(String nodeId) {
+    Map<Long, Generation> orphans = received.remove(nodeId);
+    if (orphans != null) {
+      orphans.values().forEach(Generation::cancel);
+    }
+    sent.forEach((id, attempt) -> failSent(nodeId, id, attempt));
+  }
+
+  private void failSent(String nodeId, long id, Sent attempt) {
+    if (attempt.nodeId().equals(nodeId) && sent.remove(id) != null) {
+      attempt
+          .listener()
+          .onFailed(
+              new GenerationFailure(
+                  ErrorCode.PEER_UNAVAILABLE,
+                  Outcome.UNKNOWN,
+                  false,
+                  "the connection to node " + nodeId + " broke"));
+    }
+  }
+
+  private void onSubmit(String from, WorkMessage.Submit message) {
+    if (!accepting.getAsBoolean()) {
+      GenerationFailure failure =
+          GenerationFailure.notRun(ErrorCode.STOPPING, "the node is stopping");
+      link.send(from, new WorkMessage.Failed(message.id(), failure));
+      return;
+    }
+    Map<Long, Generation> ofNode = received.computeIfAbsent(from, any -> new ConcurrentHashMap<>());
+    Reply reply = new Reply(from, message.id(), ofNode);
+    Generation generation = endpoints.runHere(message.endpoint(), message.request(), reply);
+    ofNode.put(message.id(), generation);
+    if (reply.ended) {
+      ofNode.remove(message.id());
+    }
+  }
+
+  private void onCancel(String from, WorkMessage.Cancel message) {
+    Generation generation = received.getOrDefault(from, Map.of()).remove(message.id());
+    if (generation != null) {
+      generation.cancel();
+    }
+  }
+
+  /** Sends the answer of an attempt back to the node that handed it over. */
+  private final class Reply implements GenerationListener {
+    private final String nodeId;
+    private final long id;
+    private final Map<Long, Generation> ofNode;
+    private volatile boolean ended;
+
+    private Reply(String nodeId, long id, Map<Long, Generation> ofNode) {
+      this.nodeId = nodeId;
+      this.id = id;
+      this.ofNode = ofNode;
+    }
+
+    @Override
+    public void onTokens(String text, int tokens, long version) {
+      if (!ended && !link.send(nodeId, new WorkMessage.Tokens(id, text, tokens, version))) {
+        onUndelivered();
+      }
+    }
+
+    @Override
+    public void onFinished(String finishReason) {
+      if (!ended) {
+        end();
+        link.send(nodeId, new WorkMessage.Finished(id, finishReason));
+      }
+    }
+
+    @Override
+    public void onFailed(GenerationFailure failure) {
+      if (!ended) {
+        end();
+        link.send(nodeId, new WorkMessage.Failed(id, failure));
+      }
+    }
+
+    /** Gives the attempt up, since a chunk is lost and the answer can't be whole any more. */
+    private void onUndelivered() {
+      Generation generation = ofNode.get(id);
+      end();
+      if (generation != null) {
+        generation.cancel();
+      }
+      GenerationFailure failure =
+          new GenerationFailure(
+              ErrorCode.PEER_UNAVAILABLE, Outcome.RAN, false, "a chunk could not be sent");
+      link.send(nodeId, new WorkMessage.Failed(id, failure));
+    }
+
+    private void end() {
+      ended = true;
+      ofNode.remove(id);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/Router.java
@@ -0,0 +1,95 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * Finds the handler of a call by its path and method.
+ *
+ * <p>Routes are tried in the order in which they were added. A path without a route is answered
+ * with 404, a known path with another method with 405. What a handler throws becomes an error
+ * answer.
+ */
+public final class Router implements HttpHandler {
+  private final List<Entry> entries = new ArrayList<>();
+
+  /** Creates a router without routes. */
+  public Router() {}
+
+  /** Handles a call whose path has matched. */
+  @FunctionalInterface
+  public interface PathHandler {
+    /**
+     * Handles a call.
+     *
+     * @param exchange the call
+     * @param path the groups of the path's pattern
+     */
+    void handle(HttpExchange exchange, Matcher path);
+  }
+
+  private record Entry(Pattern path, Map<String, PathHandler> handlers) {}
+
+  /**
+   * Adds a path.
+   *
+   * @param pattern regular expression for the whole path
+   * @param handlers handlers by method; {@code *} stands for any other method
+   * @return this router
+   */
+  public Router route(String pattern, Map<String, PathHandler> handlers) {
+    entries.add(new Entry(Pattern.compile(pattern), Map.copyOf(handlers)));
+    return this;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    handleSafely(this::dispatch, exchange);
+  }
+
+  /** Handles a call and answers with an error what the handler throws. */
+  static void handleSafely(HttpHandler handler, HttpExchange exchange) {
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException e) {
+      SycamoreException error = ErrorAnswers.toError(e);
+      if (error.code() == ErrorCode.INTERNAL) {
+        System.getLogger(Router.class.getName())
+            .log(System.Logger.Level.ERROR, "handler-failed", e);
+      }
+      exchange.respond(ErrorAnswers.answer(error));
+    }
+  }
+
+  private void dispatch(HttpExchange exchange) {
+    String path = exchange.path();
+    for (Entry entry : entries) {
+      Matcher matcher = entry.path().matcher(path);
+      if (matcher.matches()) {
+        PathHandler handler = entry.handlers().get(exchange.method());
+        if (handler == null) {
+          handler = entry.handlers().get("*");
+        }
+        if (handler == null) {
+          throw notOffered(
+              ErrorCode.METHOD_NOT_ALLOWED, path + " does not offer " + exchange.method());
+        }
+        handler.handle(exchange, matcher);
+        return;
+      }
+    }
+    throw notOffered(ErrorCode.NOT_FOUND, "no such path: " + path);
+  }
+
+  private static SycamoreException notOffered(ErrorCode code, String message) {
+    return new SycamoreException(code, Outcome.NOT_RUN, message);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RoutingTable.java
@@ -0,0 +1,68 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All endpoints that may be chosen, by pool. An immutable snapshot: the control thread builds one
+ * several times a second, traffic threads read it.
+ */
+public final class RoutingTable {
+  /** The table without endpoints. */
+  public static final RoutingTable EMPTY = new RoutingTable(List.of());
+
+  private final Map<String, List<Route>> byPool = new HashMap<>();
+  private final Map<String, Route> byName = new HashMap<>();
+
+  /**
+   * Creates a table.
+   *
+   * @param routes the endpoints
+   */
+  public RoutingTable(List<Route> routes) {
+    for (Route route : routes) {
+      byName.put(route.target().name(), route);
+      byPool.computeIfAbsent(route.target().pool(), any -> new ArrayList<>()).add(route);
+    }
+  }
+
+  /**
+   * Returns the endpoints of a pool.
+   *
+   * @param pool the pool's name
+   */
+  public List<Route> ofPool(String pool) {
+    return byPool.getOrDefault(pool, List.of());
+  }
+
+  /**
+   * Returns the endpoints of several pools.
+   *
+   * @param pools the pools' names
+   */
+  public List<Route> ofPools(List<String> pools) {
+    if (pools.size() == 1) {
+      return ofPool(pools.get(0));
+    }
+    List<Route> routes = new ArrayList<>();
+    pools.forEach(pool -> routes.addAll(ofPool(pool)));
+    return routes;
+  }
+
+  /**
+   * Returns an endpoint.
+   *
+   * @param name its name
+   */
+  public Optional<Route> ofName(String name) {
+    return Optional.ofNullable(byName.get(name));
+  }
+
+  /** Returns all endpoints. */
+  public List<Route> all() {
+    return List.copyOf(byName.values());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/SlotRun.java
@@ -0,0 +1,95 @@
+package org.sycamoretrack.daemon.request;
+
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StragglerPolicy;
+import org.sycamoretrack.core.request.VersionSpans;
+
+/** A slot of a step that is being generated. Confined to the event loop of its step. */
+final class SlotRun implements GenerationListener {
+  private static final double SMOOTHING = 0.2;
+  private static final double NANOS_PER_MS = 1_000_000.0;
+
+  private final StepRunner step;
+  private final int slot;
+  private final int attempt;
+  private final StringBuilder text = new StringBuilder();
+  private final VersionSpans spans = new VersionSpans();
+  private Generation generation = () -> {};
+  private long lastNanos;
+  private long lastVersion;
+  private double timePerTokenMs;
+  private int moves;
+
+  SlotRun(StepRunner step, int slot, int attempt) {
+    this.step = step;
+    this.slot = slot;
+    this.attempt = attempt;
+  }
+
+  int slot() {
+    return slot;
+  }
+
+  void setGeneration(Generation generation) {
+    this.generation = generation;
+  }
+
+  void cancel() {
+    generation.cancel();
+  }
+
+  /** Continues at another endpoint; returns the tokens that are read again there. */
+  int moveTo(String endpoint) {
+    moves++;
+    generation.moveTo(endpoint);
+    return spans.tokens();
+  }
+
+  @Override
+  public void onTokens(String newText, int tokens, long version) {
+    long nowNanos = System.nanoTime();
+    if (lastNanos != 0) {
+      double elapsedMs = (nowNanos - lastNanos) / NANOS_PER_MS / tokens;
+      timePerTokenMs =
+          timePerTokenMs == 0
+              ? elapsedMs
+              : timePerTokenMs + SMOOTHING * (elapsedMs - timePerTokenMs);
+    }
+    lastNanos = nowNanos;
+    lastVersion = version;
+    text.append(newText);
+    spans.append(version, tokens);
+  }
+
+  @Override
+  public void onFinished(String finishReason) {
+    if (spans.tokens() == 0) {
+      step.onSlotFailed(
+          this,
+          GenerationFailure.notRun(
+              org.sycamoretrack.core.process.ErrorCode.ENDPOINT_FAILED, "an empty sample"));
+      return;
+    }
+    step.onSlotFinished(
+        this,
+        new Sample(
+            slot, text.toString(), spans.tokens(), finishReason, attempt, null, spans.toList()));
+  }
+
+  @Override
+  public void onFailed(GenerationFailure failure) {
+    step.onSlotFailed(this, failure);
+  }
+
+  /** Returns the slot's progress for the straggler policy; a silence counts as slowness. */
+  StragglerPolicy.RunningSample progress() {
+    double silentMs = lastNanos == 0 ? 0 : (System.nanoTime() - lastNanos) / NANOS_PER_MS;
+    return new StragglerPolicy.RunningSample(
+        slot,
+        generation.endpoint(),
+        spans.tokens(),
+        lastVersion,
+        Math.max(timePerTokenMs, silentMs),
+        moves);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRegistry.java
@@ -0,0 +1,166 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * The steps that this node owns. Thread-safe.
+ *
+ * <p>A step that gets no polls is closed: after {@value #ABANDONED_MS} ms, or after {@value
+ * #MOVED_MS} ms when another node owns it now.
+ */
+public final class StepRegistry {
+  private static final System.Logger LOG = System.getLogger(StepRegistry.class.getName());
+  private static final int ABANDONED_MS = 1_200_000;
+  private static final int MOVED_MS = 35_000;
+  private static final int RESTORE_TIMEOUT_MS = 1_000;
+
+  private final StepServices services;
+  private final EventLoopGroup loops;
+  private final int maxOpenSteps;
+  private final Function<StepId, CompletionStage<List<Sample>>> restore;
+  private final Map<StepId, StepRunner> steps = new ConcurrentHashMap<>();
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param services what all steps share
+   * @param loops carry the steps, one loop each
+   * @param maxOpenSteps the most steps at a time
+   * @param restore reads what an earlier owner of a step had finished
+   */
+  StepRegistry(
+      StepServices services,
+      EventLoopGroup loops,
+      int maxOpenSteps,
+      Function<StepId, CompletionStage<List<Sample>>> restore) {
+    this.services = services;
+    this.loops = loops;
+    this.maxOpenSteps = maxOpenSteps;
+    this.restore = restore;
+  }
+
+  /**
+   * Opens a step, or confirms that it is open.
+   *
+   * @param spec the step
+   * @throws SycamoreException with {@code VERSION_CONFLICT} when it is open with other work
+   */
+  void open(StepSpec spec) {
+    TrackPlan plan =
+        services
+            .plans()
+            .apply(spec.id().track())
+            .orElseThrow(
+                () -> error(ErrorCode.NOT_FOUND, "no track " + spec.id().track() + " in force"));
+    StepRunner known = steps.get(spec.id());
+    if (known == null) {
+      if (steps.size() >= maxOpenSteps) {
+        throw error(ErrorCode.OVERLOADED, "the node owns " + maxOpenSteps + " steps already");
+      }
+      StepRunner runner = new StepRunner(spec, plan, services, loops.next());
+      known = steps.putIfAbsent(spec.id(), runner);
+      if (known == null) {
+        begin(runner);
+        return;
+      }
+      runner.loop().execute(runner::close);
+    }
+    if (!known.spec().sameWork(spec)) {
+      throw error(ErrorCode.VERSION_CONFLICT, "the step is open with other groups or limits");
+    }
+  }
+
+  private void begin(StepRunner runner) {
+    StepId id = runner.spec().id();
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("step-opened")
+            .with("track", id.track())
+            .with("step", id.step())
+            .with("slots", runner.spec().slots()));
+    CompletableFuture<List<Sample>> finished =
+        restore
+            .apply(id)
+            .toCompletableFuture()
+            .orTimeout(RESTORE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    finished.whenComplete(
+        (samples, failure) ->
+            runner.loop().execute(() -> runner.start(failure == null ? samples : List.of())));
+  }
+
+  private static SycamoreException error(ErrorCode code, String message) {
+    return new SycamoreException(code, Outcome.NOT_RUN, message);
+  }
+
+  /** Returns an open step. */
+  Optional<StepRunner> find(StepId id) {
+    return Optional.ofNullable(steps.get(id));
+  }
+
+  /** Closes a step; nothing happens when it is not open. */
+  void close(StepId id) {
+    StepRunner runner = steps.remove(id);
+    if (runner != null) {
+      runner.loop().execute(runner::close);
+    }
+  }
+
+  /**
+   * Closes steps that nobody polls here any more.
+   *
+   * @param ownedHere whether this node is the owner of a step now
+   */
+  public void closeAbandoned(Predicate<StepId> ownedHere) {
+    steps.forEach(
+        (id, runner) -> {
+          int limitMs = ownedHere.test(id) ? ABANDONED_MS : MOVED_MS;
+          if (runner.idleMs() > limitMs) {
+            close(id);
+          }
+        });
+  }
+
+  /** Closes all steps and answers their polls. */
+  public void closeAll() {
+    steps.keySet().forEach(this::close);
+  }
+
+  /** Returns the number of open steps. */
+  public int size() {
+    return steps.size();
+  }
+
+  /** Returns the states of all steps, each read on its own event loop. */
+  public CompletionStage<ArrayNode> dump() {
+    List<CompletableFuture<ObjectNode>> parts =
+        steps.values().stream()
+            .map(runner -> CompletableFuture.supplyAsync(runner::dump, runner.loop()))
+            .toList();
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+        .thenApply(
+            done -> {
+              ArrayNode array = Json.mapper().createArrayNode();
+              parts.forEach(part -> array.add(part.join()));
+              return array;
+            });
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -0,0 +1,392 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.connection.EjectionState;
+import org.sycamoretrack.core.connection.EndpointView;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.request.StepState;
+import org.sycamoretrack.core.request.StragglerPolicy;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/**
+ * Makes a step whole: keeps its slots running, and answers its trainer's polls.
+ *
+ * <p>The runner is the step's owner as long as polls come to it. It holds nothing that must last:
+ * what the trainer has is in each poll, and what is lost with the node is made again by the next
+ * owner. A poll is answered as soon as samples are ready; those that finish within {@value
+ * #GATHER_MS} ms share an answer. A newer poll ends an older one, whose answer nobody reads.
+ *
+ * <p>Checks of age: a slot runs only on engines whose version the trainer takes; a sample is
+ * checked when it has finished and again when it is delivered, against the version that the newest
+ * poll names.
+ *
+ * <p>Confined to its event loop.
+ */
+final class StepRunner {
+  private static final System.Logger LOG = System.getLogger(StepRunner.class.getName());
+  private static final int GATHER_MS = 20;
+  private static final int TICK_MS = 200;
+  private static final int RETRY_MS = 200;
+  private static final int QUARANTINE_RETRY_MS = 30_000;
+  private static final int SCORE_RETRY_MS = 500;
+  private static final long SAMPLE_DEADLINE_MIN = 30;
+  private static final double WINDOW_FACTOR = 1.25;
+  private static final int WINDOW_EXTRA = 8;
+
+  private final StepSpec spec;
+  private final StepServices services;
+  private final EventLoop loop;
+  private final StepState state;
+  private final Map<Integer, SlotRun> running = new HashMap<>();
+  private final Set<Integer> quarantined = new TreeSet<>();
+  private final StragglerPolicy stragglers = new StragglerPolicy();
+  private final ScheduledFuture<?> ticker;
+  private TrackPlan plan;
+  private long trainsVersion;
+  private WaitingPoll waiting;
+  private long countedChars;
+  private long tokensMade;
+  private long movedTokens;
+  private int moves;
+  private int restored;
+  private int staleAtFinish;
+  private volatile long lastPollNanos = System.nanoTime();
+  private boolean closed;
+
+  StepRunner(StepSpec spec, TrackPlan plan, StepServices services, EventLoop loop) {
+    this.spec = spec;
+    this.plan = plan;
+    this.services = services;
+    this.loop = loop;
+    this.state = new StepState(spec);
+    this.trainsVersion = spec.trainsVersion();
+    this.ticker = loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** A poll that waits for a sample. */
+  private record WaitingPoll(
+      HttpExchange exchange, StepCodec.Poll poll, ScheduledFuture<?> timeout) {}
+
+  StepSpec spec() {
+    return spec;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Returns the time since the last poll, in milliseconds. May be called from any thread. */
+  long idleMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastPollNanos);
+  }
+
+  /** Takes over samples that an earlier owner of the step had finished, and starts the rest. */
+  void start(List<Sample> finished) {
+    for (Sample sample : finished) {
+      if (sample.slot() < spec.slots() && state.finish(sample)) {
+        restored++;
+      }
+    }
+    countMemory();
+    dispatch();
+  }
+
+  // ---- polls
+
+  /** Answers a poll, at once or when a sample is ready. */
+  void poll(byte[] body, HttpExchange exchange) {
+    StepCodec.Poll poll = StepCodec.parsePoll(body, spec.slots());
+    lastPollNanos = System.nanoTime();
+    trainsVersion = Math.max(trainsVersion, poll.trainsVersion());
+    endWaitingPoll();
+    for (int slot : state.acknowledge(poll.received())) {
+      SlotRun run = running.remove(slot);
+      if (run != null) {
+        run.cancel();
+      }
+    }
+    countMemory();
+    if (!answerIfReady(exchange, poll)) {
+      ScheduledFuture<?> timeout =
+          loop.schedule(this::endWaitingPoll, poll.waitMs(), TimeUnit.MILLISECONDS);
+      WaitingPoll parked = new WaitingPoll(exchange, poll, timeout);
+      waiting = parked;
+      exchange.onAbandoned(() -> loop.execute(() -> forget(parked)));
+    }
+    dispatch();
+  }
+
+  private void forget(WaitingPoll parked) {
+    if (parked.equals(waiting)) {
+      waiting = null;
+      parked.timeout().cancel(false);
+    }
+  }
+
+  private boolean answerIfReady(HttpExchange exchange, StepCodec.Poll poll) {
+    List<Sample> samples = state.deliverable(oldestVersion(), poll.maxSamples());
+    if (samples.isEmpty() && !state.isComplete() && poll.waitMs() > 0) {
+      return false;
+    }
+    respond(exchange, samples);
+    return true;
+  }
+
+  private void respond(HttpExchange exchange, List<Sample> samples) {
+    ObjectNode answer = StepCodec.pollAnswer(spec, state.isComplete(), samples);
+    if (!quarantined.isEmpty()) {
+      answer.set("quarantined", Json.mapper().valueToTree(quarantined));
+    }
+    exchange.respond(HttpAnswer.json(200, answer));
+  }
+
+  private void endWaitingPoll() {
+    if (waiting != null) {
+      WaitingPoll ended = waiting;
+      waiting = null;
+      ended.timeout().cancel(false);
+      respond(ended.exchange(), state.deliverable(oldestVersion(), ended.poll().maxSamples()));
+    }
+  }
+
+  private void answerWaitingPollSoon() {
+    if (waiting != null && state.finished() == 1) {
+      loop.schedule(this::answerWaitingPoll, GATHER_MS, TimeUnit.MILLISECONDS);
+    } else if (waiting != null && state.finished() >= waiting.poll().maxSamples()) {
+      answerWaitingPoll();
+    }
+  }
+
+  private void answerWaitingPoll() {
+    if (waiting != null && state.finished() > 0) {
+      endWaitingPoll();
+    }
+  }
+
+  private long oldestVersion() {
+    return plan.oldestVersion(trainsVersion);
+  }
+
+  // ---- generation
+
+  private void dispatch() {
+    if (closed) {
+      return;
+    }
+    int window = window();
+    while (running.size() < window && services.memory().hasRoom()) {
+      OptionalInt slot = state.startNext();
+      if (slot.isEmpty()) {
+        return;
+      }
+      generate(slot.getAsInt());
+    }
+  }
+
+  private int window() {
+    int slots = 0;
+    for (Route route : services.routes().get().ofPools(plan.pools())) {
+      EndpointView view = route.view();
+      if (view.inService() && view.ejection() == EjectionState.IN_USE) {
+        slots += view.limit();
+      }
+    }
+    return (int) (slots * WINDOW_FACTOR) + WINDOW_EXTRA;
+  }
+
+  private void generate(int slot) {
+    SlotRun run = new SlotRun(this, slot, state.attempt(slot));
+    running.put(slot, run);
+    long deadlineNanos = System.nanoTime() + TimeUnit.MINUTES.toNanos(SAMPLE_DEADLINE_MIN);
+    GenerationRequest request =
+        GenerationRequest.builder(spec.id().key() + '/' + slot)
+            .pools(plan.pools())
+            .prompt(spec.promptOf(slot))
+            .maxTokens(spec.maxTokens())
+            .seed(spec.seedOf(slot))
+            .requestClass(RequestClass.ROLLOUT)
+            .flow(spec.id().track())
+            .deadlineNanos(deadlineNanos)
+            .oldestVersion(oldestVersion())
+            .build();
+    run.setGeneration(services.generator().generate(request, run, loop));
+  }
+
+  /** Takes a slot's finished sample, and has it scored where the track names a scorer. */
+  void onSlotFinished(SlotRun run, Sample sample) {
+    if (closed || running.get(run.slot()) != run) {
+      return;
+    }
+    tokensMade += sample.tokens();
+    if (sample.oldestVersion() < oldestVersion()) {
+      staleAtFinish++;
+      running.remove(run.slot());
+      state.fail(run.slot());
+      dispatch();
+    } else if (plan.scorer() == null) {
+      accept(run, sample);
+    } else {
+      score(run, sample);
+    }
+  }
+
+  private void score(SlotRun run, Sample sample) {
+    services
+        .scorer()
+        .score(plan.scorer(), spec, sample)
+        .whenComplete(
+            (score, failure) -> loop.execute(() -> onScored(run, sample, score, failure)));
+  }
+
+  private void onScored(SlotRun run, Sample sample, Double score, Throwable failure) {
+    if (closed || running.get(run.slot()) != run) {
+      return;
+    }
+    if (failure == null) {
+      accept(run, sample.withScore(score));
+      return;
+    }
+    LOG.log(
+        System.Logger.Level.WARNING,
+        LogEvent.of("scoring-failed")
+            .with("track", spec.id().track())
+            .with("step", spec.id().step())
+            .with("slot", sample.slot())
+            .with("reason", ErrorAnswers.toError(failure).getMessage()));
+    loop.schedule(
+        () -> {
+          if (!closed && running.get(run.slot()) == run) {
+            score(run, sample);
+          }
+        },
+        SCORE_RETRY_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void accept(SlotRun run, Sample sample) {
+    running.remove(run.slot());
+    if (state.finish(sample)) {
+      countMemory();
+      services.sink().onFinished(spec.id(), sample);
+      answerWaitingPollSoon();
+    }
+    dispatch();
+  }
+
+  private void countMemory() {
+    services.memory().add(state.finishedChars() - countedChars);
+    countedChars = state.finishedChars();
+  }
+
+  /** Lets a slot wait to be run again. */
+  void onSlotFailed(SlotRun run, GenerationFailure failure) {
+    if (closed || running.get(run.slot()) != run) {
+      return;
+    }
+    running.remove(run.slot());
+    boolean isQuarantined = failure.code() == ErrorCode.QUARANTINED;
+    int delayMs = isQuarantined ? QUARANTINE_RETRY_MS : RETRY_MS;
+    if (isQuarantined) {
+      quarantined.add(run.slot());
+    }
+    LOG.log(
+        System.Logger.Level.WARNING,
+        LogEvent.of("sample-failed")
+            .with("track", spec.id().track())
+            .with("step", spec.id().step())
+            .with("slot", run.slot())
+            .with("code", failure.code().wireName())
+            .with("reason", failure.message()));
+    loop.schedule(() -> retry(run.slot()), delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void retry(int slot) {
+    quarantined.remove(slot);
+    state.fail(slot);
+    dispatch();
+  }
+
+  // ---- upkeep
+
+  private void tick() {
+    services.plans().apply(spec.id().track()).ifPresent(current -> plan = current);
+    dispatch();
+    if (state.waiting() == 0 && !running.isEmpty()) {
+      moveStragglers();
+    }
+  }
+
+  private void moveStragglers() {
+    List<StragglerPolicy.RunningSample> samples =
+        running.values().stream()
+            .map(SlotRun::progress)
+            .filter(sample -> !sample.endpoint().isEmpty())
+            .toList();
+    List<StragglerPolicy.SpareEndpoint> spares =
+        services.routes().get().ofPools(plan.pools()).stream()
+            .map(Route::view)
+            .filter(view -> view.inService() && view.ejection() == EjectionState.IN_USE)
+            .filter(view -> view.limit() > view.inFlight())
+            .map(StepRunner::spare)
+            .toList();
+    StragglerPolicy.StepProgress progress =
+        new StragglerPolicy.StepProgress(samples, state.waiting(), tokensMade, movedTokens);
+    for (StragglerPolicy.Move move : stragglers.decide(progress, spares)) {
+      movedTokens += running.get(move.slot()).moveTo(move.toEndpoint());
+      moves++;
+    }
+  }
+
+  private static StragglerPolicy.SpareEndpoint spare(EndpointView view) {
+    return new StragglerPolicy.SpareEndpoint(
+        view.name(), view.limit() - view.inFlight(), view.servedVersion(), view.timePerTokenMs());
+  }
+
+  /** Ends the step: cancels what runs, answers a waiting poll, and frees what it kept. */
+  void close() {
+    if (closed) {
+      return;
+    }
+    endWaitingPoll();
+    closed = true;
+    ticker.cancel(false);
+    running.values().forEach(SlotRun::cancel);
+    running.clear();
+    services.memory().add(-countedChars);
+  }
+
+  /** Returns the step's state for the state dump. */
+  ObjectNode dump() {
+    return Json.object()
+        .put("track", spec.id().track())
+        .put("step", spec.id().step())
+        .put("slots", spec.slots())
+        .put("waiting", state.waiting())
+        .put("running", state.running())
+        .put("finished", state.finished())
+        .put("received", state.received())
+        .put("restored", restored)
+        .put("moves", moves)
+        .put("movedTokens", movedTokens)
+        .put("tokensMade", tokensMade)
+        .put("staleAtFinish", staleAtFinish)
+        .put("staleTokensDropped", state.droppedTokens())
+        .put("trainsVersion", trainsVersion)
+        .put("idleMs", idleMs());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepServices.java
@@ -0,0 +1,23 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/**
+ * What all steps of a node share.
+ *
+ * @param generator generates samples
+ * @param scorer scores them
+ * @param sink takes note of finished samples
+ * @param routes gives the newest routing table
+ * @param plans gives what the configuration says of a track
+ * @param memory bounds what is kept of finished samples
+ */
+record StepServices(
+    Generator generator,
+    Scorer scorer,
+    SampleSink sink,
+    Supplier<RoutingTable> routes,
+    Function<String, Optional<TrackPlan>> plans,
+    SampleMemory memory) {}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/WorkMessage.java
@@ -0,0 +1,192 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.daemon.connection.FieldReader;
+import org.sycamoretrack.daemon.connection.FieldWriter;
+import org.sycamoretrack.daemon.connection.PeerMessage;
+
+/**
+ * The messages by which a node hands an attempt to the node that looks after its endpoint.
+ *
+ * <p>An attempt is a {@link Submit}, any number of {@link Tokens} and one {@link Finished} or
+ * {@link Failed}. The id is the sender's, unique among its attempts.
+ */
+sealed interface WorkMessage extends PeerMessage {
+  /** Returns the id of the attempt. */
+  long id();
+
+  /**
+   * Asks for an attempt.
+   *
+   * @param id the id
+   * @param endpoint the endpoint's name
+   * @param request what to generate; its deadline travels as the time that remains
+   */
+  record Submit(long id, String endpoint, GenerationRequest request) implements WorkMessage {
+    static final String TYPE = "work.submit";
+
+    static Submit read(FieldReader fields) {
+      long remainingMs = fields.integer("remainingMs");
+      GenerationRequest request =
+          GenerationRequest.builder(fields.string("request"))
+              .pools(fields.strings("pools"))
+              .prompt(fields.string("prompt"))
+              .maxTokens(fields.int32("maxTokens"))
+              .seed(fields.integer("seed"))
+              .requestClass(requestClass(fields))
+              .flow(fields.string("flow"))
+              .deadlineNanos(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMs))
+              .oldestVersion(fields.integer("oldestVersion"))
+              .prior(fields.string("priorText", ""), (int) fields.integer("priorTokens", 0))
+              .repeatable(fields.bool("repeatable"))
+              .build();
+      return new Submit(fields.integer("id"), fields.string("endpoint"), request);
+    }
+
+    private static RequestClass requestClass(FieldReader fields) {
+      return fields.bool("rollout") ? RequestClass.ROLLOUT : RequestClass.INTERACTIVE;
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      long remainingNanos = request.deadlineNanos() - System.nanoTime();
+      out.integer("id", id)
+          .string("endpoint", endpoint)
+          .string("request", request.id())
+          .strings("pools", request.pools())
+          .string("prompt", request.prompt())
+          .integer("maxTokens", request.maxTokens())
+          .integer("seed", request.seed())
+          .bool("rollout", request.requestClass() == RequestClass.ROLLOUT)
+          .string("flow", request.flow())
+          .integer("remainingMs", Math.max(0, TimeUnit.NANOSECONDS.toMillis(remainingNanos)))
+          .integer("oldestVersion", request.oldestVersion())
+          .bool("repeatable", request.repeatable());
+      if (request.priorTokens() > 0) {
+        out.string("priorText", request.priorText()).integer("priorTokens", request.priorTokens());
+      }
+    }
+  }
+
+  /**
+   * Brings a chunk.
+   *
+   * @param id the id
+   * @param text the tokens' text
+   * @param tokens the number of tokens
+   * @param version the weight version that made them
+   */
+  record Tokens(long id, String text, int tokens, long version) implements WorkMessage {
+    static final String TYPE = "work.tokens";
+
+    static Tokens read(FieldReader fields) {
+      return new Tokens(
+          fields.integer("id"),
+          fields.string("text"),
+          fields.int32("tokens"),
+          fields.integer("version"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id)
+          .string("text", text)
+          .integer("tokens", tokens)
+          .integer("version", version);
+    }
+  }
+
+  /**
+   * Says that the answer is whole.
+   *
+   * @param id the id
+   * @param finishReason why generation ended
+   */
+  record Finished(long id, String finishReason) implements WorkMessage {
+    static final String TYPE = "work.finished";
+
+    static Finished read(FieldReader fields) {
+      return new Finished(fields.integer("id"), fields.string("finishReason"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id).string("finishReason", finishReason);
+    }
+  }
+
+  /**
+   * Says that the answer can't be had whole.
+   *
+   * @param id the id
+   * @param failure the reason
+   */
+  record Failed(long id, GenerationFailure failure) implements WorkMessage {
+    static final String TYPE = "work.failed";
+
+    static Failed read(FieldReader fields) {
+      return new Failed(
+          fields.integer("id"),
+          new GenerationFailure(
+              ErrorCode.ofWireName(fields.string("code")),
+              Outcome.ofWireName(fields.string("outcome")),
+              fields.bool("crashed"),
+              fields.string("message", "")));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id)
+          .string("code", failure.code().wireName())
+          .string("outcome", failure.outcome().wireName())
+          .bool("crashed", failure.endpointCrashed())
+          .string("message", failure.message());
+    }
+  }
+
+  /**
+   * Gives an attempt up.
+   *
+   * @param id the id
+   */
+  record Cancel(long id) implements WorkMessage {
+    static final String TYPE = "work.cancel";
+
+    static Cancel read(FieldReader fields) {
+      return new Cancel(fields.integer("id"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id);
+    }
+  }
+}
