--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/version/References.java
@@ -0,0 +1,97 @@
+package org.sycamoretrack.core.version;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Checks that the resources which a resource names exist, and that nothing which is still named is
+ * removed.
+ */
+final class References {
+  private final Configuration configuration;
+
+  References(Configuration configuration) {
+    this.configuration = configuration;
+  }
+
+  /** Returns what is wrong with the references of a resource. */
+  List<Violation> check(Resource resource) {
+    List<Violation> violations = new ArrayList<>();
+    switch (resource.spec()) {
+      case ResourceSpec.TrackSpec track -> {
+        require(
+            ResourceKind.TRAINER_GROUPS, track.trainerGroup(), "/spec/trainerGroup", violations);
+        if (track.scorer() != null) {
+          require(ResourceKind.SERVICES, track.scorer(), "/spec/scorer", violations);
+        }
+      }
+      case ResourceSpec.EndpointSpec endpoint ->
+          require(ResourceKind.POOLS, endpoint.pool(), "/spec/pool", violations);
+      case ResourceSpec.ServiceSpec service -> checkService(service, violations);
+      case ResourceSpec.PoolSpec pool -> checkPool(resource.name(), pool, violations);
+      case ResourceSpec.TrainerGroupSpec group -> {
+        // A selector may match nothing yet.
+      }
+      case ResourceSpec.DrainSpec drain -> {
+        // A selector may match nothing yet.
+      }
+    }
+    return violations;
+  }
+
+  private void require(ResourceKind kind, String name, String pointer, List<Violation> violations) {
+    if (configuration.resource(kind, name).isEmpty()) {
+      violations.add(new Violation(pointer, "there is no " + kind.wireName() + "/" + name));
+    }
+  }
+
+  private void checkService(ResourceSpec.ServiceSpec service, List<Violation> violations) {
+    require(ResourceKind.POOLS, service.pool(), "/spec/pool", violations);
+    ResourceSpec.PoolSpec pool = configuration.pools().get(service.pool());
+    if (pool != null && pool.type() != PoolType.SERVICE) {
+      violations.add(
+          new Violation("/spec/pool", "pools/" + service.pool() + " is not of type service"));
+    }
+  }
+
+  private void checkPool(String name, ResourceSpec.PoolSpec pool, List<Violation> violations) {
+    if (pool.type() == PoolType.SERVICE) {
+      return;
+    }
+    for (Map.Entry<String, ResourceSpec.ServiceSpec> service :
+        configuration.services().entrySet()) {
+      if (service.getValue().pool().equals(name)) {
+        violations.add(
+            new Violation("/spec/type", "services/" + service.getKey() + " is served by it"));
+      }
+    }
+  }
+
+  /** Returns the resources that name a given one. */
+  List<ResourceKey> referrers(ResourceKey key) {
+    List<ResourceKey> referrers = new ArrayList<>();
+    for (Resource resource : configuration.resources()) {
+      if (names(resource.spec(), key)) {
+        referrers.add(ResourceKey.of(resource));
+      }
+    }
+    return referrers;
+  }
+
+  private static boolean names(ResourceSpec spec, ResourceKey key) {
+    String name = key.name();
+    return switch (spec) {
+      case ResourceSpec.TrackSpec track ->
+          (key.kind() == ResourceKind.TRAINER_GROUPS && track.trainerGroup().equals(name))
+              || (key.kind() == ResourceKind.SERVICES && name.equals(track.scorer()));
+      case ResourceSpec.EndpointSpec endpoint ->
+          key.kind() == ResourceKind.POOLS && endpoint.pool().equals(name);
+      case ResourceSpec.ServiceSpec service ->
+          key.kind() == ResourceKind.POOLS && service.pool().equals(name);
+      case ResourceSpec.PoolSpec pool -> false;
+      case ResourceSpec.TrainerGroupSpec group -> false;
+      case ResourceSpec.DrainSpec drain -> false;
+    };
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/version/Violation.java
@@ -0,0 +1,14 @@
+package org.sycamoretrack.core.version;
+
+/**
+ * One mistake in a resource.
+ *
+ * @param pointer where it is: a JSON pointer into the resource, empty for the whole
+ * @param message what is wrong, one line for people
+ */
+public record Violation(String pointer, String message) {
+  @Override
+  public String toString() {
+    return (pointer.isEmpty() ? "/" : pointer) + ": " + message;
+  }
+}
