Test the stand-ins and their faults

The first form of the swap test let the load end before the stream's first chunk and saw one version only; the load now takes longer than the first chunk, on the same event loop.

--- /dev/null
+++ b/standins/src/test/java/org/sycamoretrack/standins/process/EngineStandinTest.java
@@ -0,0 +1,217 @@
+package org.sycamoretrack.standins.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.standins.process.StandinClient.Completion;
+import org.sycamoretrack.standins.request.Generation;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpFailure;
+
+/** Tests of {@link EngineStandin}. */
+@Timeout(value = 30, unit = TimeUnit.SECONDS)
+class EngineStandinTest {
+  private static final int MEDIAN_TOKENS = 64;
+
+  private final StandinClient client = new StandinClient();
+  private EngineStandin engine;
+
+  @AfterEach
+  void stop() {
+    client.close();
+    engine.close();
+  }
+
+  private static EngineSettings.Builder fast() {
+    return EngineSettings.builder().medianTokens(MEDIAN_TOKENS).tokens(0, 8).load(1, 1);
+  }
+
+  private void start(EngineSettings.Builder settings) {
+    engine = EngineStandin.start(0, settings.build());
+  }
+
+  private static String request(String prompt, int maxTokens, String more) {
+    return "{'prompt':'"
+        + prompt
+        + "','max_tokens':"
+        + maxTokens
+        + ",'seed':7,'stream':true"
+        + more
+        + "}";
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, 1", "0, 64", "50, 3"})
+  void outputDependsOnPromptAndSeedOnly(int tokenTimeUs, int tokensPerChunk) {
+    start(fast().tokens(tokenTimeUs, tokensPerChunk));
+    CompletableFuture<Completion> other =
+        client.complete(engine.address(), request("other", 500, ""));
+    Generation expected = new Generation("prompt", 7, MEDIAN_TOKENS);
+    Completion answer = client.complete(engine.address(), request("prompt", 1_000, "")).join();
+    assertThat(answer.done()).isTrue();
+    assertThat(answer.text()).isEqualTo(expected.text(expected.naturalTokens()));
+    assertThat(other.join().done()).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 8, 17, 40})
+  void continuedAnswerEqualsTheUnbrokenOne(int tokens) {
+    start(fast().medianTokens(0));
+    Generation generation = new Generation("prompt", 7, 0);
+    String from =
+        ",'continue_from':{'text':'" + generation.text(tokens) + "','tokens':" + tokens + "}";
+    Completion rest = client.complete(engine.address(), request("prompt", 40, from)).join();
+    assertThat(generation.text(tokens) + rest.text()).isEqualTo(generation.text(40));
+  }
+
+  @Test
+  void refusesToContinueWhatItDidNotGenerate() {
+    start(fast());
+    String from = ",'continue_from':{'text':' wrong','tokens':1}";
+    HttpAnswer answer =
+        client.call("POST", engine.address(), "/v1/completions", request("prompt", 9, from));
+    assertThat(answer.status()).isEqualTo(400);
+  }
+
+  private HttpAnswer order(int version, int fence) {
+    return client.call(
+        "POST",
+        engine.address(),
+        "/orders",
+        "{'orderId':'o','order':'load-weights','version':"
+            + version
+            + ",'fence':"
+            + fence
+            + ",'node':'n'}");
+  }
+
+  private JsonNode weights() {
+    return client.get(engine.address(), "/weights");
+  }
+
+  @Test
+  void chunksAfterASwapNameTheNewVersion() {
+    start(fast().tokens(1_000, 1).medianTokens(0).load(50, 1));
+    CompletableFuture<Completion> answer =
+        client.complete(engine.address(), request("prompt", 300, ""));
+    StandinClient.await(() -> engine.journal().count() == 1);
+    order(2, 1);
+    Completion whole = answer.join();
+    assertThat(whole.versions()).containsOnly(1, 2).isSorted();
+    assertThat(whole.text()).isEqualTo(new Generation("prompt", 7, 0).text(300));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true, 4, 409", "true, 5, 202", "true, 6, 202", "false, 4, 202", "false, 6, 202"})
+  void oldFencesAreRefusedWhereTheyAreChecked(boolean checksFence, int fence, int status) {
+    start(fast().checksFence(checksFence));
+    order(2, 5);
+    assertThat(order(3, fence).status()).isEqualTo(status);
+    assertThat(weights().path("fence").asInt()).isEqualTo(Math.max(5, status == 202 ? fence : 5));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "LOAD_FAILS,       1, null, 1",
+    "LOAD_PARTIAL,     1, 2,    1",
+    "LOAD_MISREPORTED, 2, null, 1"
+  })
+  void loadsFailInDifferentWays(FaultKind kind, int reported, String loading, int served) {
+    start(fast());
+    engine.faults().add(Fault.builder(kind).times(1).build());
+    order(2, 1);
+    StandinClient.await(() -> engine.faults().occurred() > 0);
+    JsonNode weights = weights();
+    assertThat(weights.path("version").asInt()).isEqualTo(reported);
+    assertThat(weights.path("loading").asText()).isEqualTo(loading);
+    Completion answer = client.complete(engine.address(), request("prompt", 4, "")).join();
+    assertThat(answer.versions()).containsOnly(served);
+  }
+
+  @Test
+  void loadOverTheRateOfTheStoreHasNoEffect() {
+    try (PlatformStandin platform = PlatformStandin.builder().fetchLimit(0.001, 1).start()) {
+      platform.weights().publish("model", 2);
+      platform.weights().publish("model", 3);
+      start(fast().weightStore(platform.address()));
+      order(2, 1);
+      StandinClient.await(() -> weights().path("version").asInt() == 2);
+      order(3, 1);
+      StandinClient.await(() -> weights().path("loading").isNull());
+      assertThat(weights().path("version").asInt()).isEqualTo(2);
+      assertThat(platform.weights().refusals()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void crashBreaksStreamsOffAndRestartServesTheFirstVersion() {
+    start(fast().tokens(1_000, 1).medianTokens(0));
+    order(2, 1);
+    StandinClient.await(() -> weights().path("version").asInt() == 2);
+    CompletableFuture<Completion> answer =
+        client.complete(engine.address(), request("prompt", 10_000, ""));
+    StandinClient.await(() -> engine.journal().count() == 1);
+    engine.crash().join();
+    assertThatThrownBy(answer::join).hasCauseInstanceOf(HttpFailure.class);
+    assertThatThrownBy(this::weights).hasCauseInstanceOf(HttpFailure.class);
+    engine.restart().join();
+    assertThat(weights().path("version").asInt()).isEqualTo(1);
+    assertThat(weights().path("fence").asInt()).isEqualTo(1);
+  }
+
+  @Test
+  void poisonedPromptCrashesTheWholeBatch() {
+    start(fast().tokens(1_000, 1).medianTokens(0).restartTimeMs(1));
+    engine.faults().add(Fault.builder(FaultKind.POISON).prompt("bad").build());
+    CompletableFuture<Completion> innocent =
+        client.complete(engine.address(), request("good", 10_000, ""));
+    CompletableFuture<Completion> poison =
+        client.complete(engine.address(), request("a bad one", 10, ""));
+    assertThatThrownBy(innocent::join).hasCauseInstanceOf(HttpFailure.class);
+    assertThatThrownBy(poison::join).hasCauseInstanceOf(HttpFailure.class);
+  }
+
+  @Test
+  void cancelledStreamLeavesTheBatch() {
+    start(fast().tokens(1_000, 1).medianTokens(0).reportLagMs(0));
+    CompletableFuture<Completion> answer =
+        client.complete(engine.address(), request("prompt", 10_000, ""));
+    StandinClient.await(() -> engine.journal().count() == 1);
+    String id = engine.journal().toJson(0).at("/0/requestId").asText();
+    client.call("DELETE", engine.address(), "/v1/requests/" + id, "");
+    assertThatThrownBy(answer::join).hasCauseInstanceOf(HttpFailure.class);
+    assertThat(client.get(engine.address(), "/load").path("running").asInt()).isZero();
+    assertThat(engine.journal().toJson(0).at("/0/outcome").asText()).isEqualTo("cancelled");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"truncated", "malformed"})
+  void spoiltStreamsHaveNoEndOfTheirOwn(String kind) {
+    start(fast().medianTokens(0));
+    engine.faults().add(Fault.builder(FaultKind.ofWireName(kind)).path("/v1").build());
+    HttpAnswer answer =
+        client.call("POST", engine.address(), "/v1/completions", request("prompt", 400, ""));
+    assertThat(new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8))
+        .doesNotContain("[DONE]");
+  }
+
+  @Test
+  void cachedPrefixesArePublishedWithGaps() {
+    start(fast().reportLagMs(0));
+    String prompt = "x".repeat(64 * 20);
+    client.complete(engine.address(), request(prompt, 4, "")).join();
+    JsonNode events = client.get(engine.address(), "/cache-events?after=0").path("events");
+    assertThat(events).hasSize(18);
+    client.complete(engine.address(), request(prompt, 4, "")).join();
+    assertThat(client.get(engine.address(), "/cache-events?after=20").path("events")).isEmpty();
+  }
+}
