--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/HttpScorer.java
@@ -0,0 +1,71 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** Has samples scored by a plain service. Thread-safe. */
+final class HttpScorer implements Scorer {
+  private static final int TIMEOUT_MS = 30_000;
+
+  private final ServiceCaller caller;
+  private final Supplier<Configuration> configuration;
+
+  HttpScorer(ServiceCaller caller, Supplier<Configuration> configuration) {
+    this.caller = caller;
+    this.configuration = configuration;
+  }
+
+  @Override
+  public CompletionStage<Double> score(String service, StepSpec spec, Sample sample) {
+    ResourceSpec.ServiceSpec inForce = configuration.get().services().get(service);
+    if (inForce == null) {
+      return CompletableFuture.failedFuture(
+          new SycamoreException(ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no service " + service));
+    }
+    ObjectNode body =
+        Json.object()
+            .put("track", spec.id().track())
+            .put("step", spec.id().step())
+            .put("slot", sample.slot())
+            .put("prompt", spec.promptOf(sample.slot()))
+            .put("text", sample.text());
+    ServiceCall call =
+        new ServiceCall(
+            spec.id().key() + '/' + sample.slot() + "/score",
+            inForce.pool(),
+            "POST",
+            inForce.path(),
+            Map.of("content-type", "application/json"),
+            Json.bytes(body),
+            true,
+            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS));
+    return caller.call(call).thenApply(HttpScorer::parse);
+  }
+
+  private static Double parse(HttpAnswer answer) {
+    if (answer.status() != 200) {
+      throw new SycamoreException(
+          ErrorCode.ENDPOINT_FAILED, Outcome.RAN, "the scorer answered " + answer.status());
+    }
+    JsonNode score = answer.json().path("score");
+    if (!score.isNumber()) {
+      throw new SycamoreException(
+          ErrorCode.ENDPOINT_FAILED, Outcome.RAN, "the scorer's answer has no score");
+    }
+    return score.doubleValue();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceCaller.java
@@ -0,0 +1,223 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.EndpointSelector;
+import org.sycamoretrack.core.connection.EndpointStats;
+import org.sycamoretrack.core.connection.EndpointView;
+import org.sycamoretrack.core.connection.RequestTraits;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Backoff;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.core.request.RetryBudget;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/**
+ * Sends calls to the endpoints of plain services.
+ *
+ * <p>An endpoint is chosen from what this node has measured of each. A call that is known not to
+ * have run goes to another endpoint; one that may have run does so only when it is repeatable, and
+ * within a {@link RetryBudget}. A call that may not be repeated is sent on a connection of its own,
+ * since a reused one may just be closing, which would leave its outcome unknown.
+ *
+ * <p>Thread-safe.
+ */
+final class ServiceCaller {
+  private static final int MAX_ATTEMPTS = 6;
+  private static final int BACKOFF_MS = 10;
+  private static final int MAX_BACKOFF_MS = 500;
+  private static final int LIMIT = 256;
+
+  private final String zone;
+  private final HttpClient client;
+  private final Supplier<RoutingTable> routes;
+  private final RetryBudget budget = new RetryBudget();
+  private final Map<String, EndpointStats> statsByEndpoint = new ConcurrentHashMap<>();
+
+  ServiceCaller(String zone, HttpClient client, Supplier<RoutingTable> routes) {
+    this.zone = zone;
+    this.client = client;
+    this.routes = routes;
+  }
+
+  /** Sends a call; the answer is that of the endpoint, whatever its status. */
+  CompletableFuture<HttpAnswer> call(ServiceCall call) {
+    synchronized (budget) {
+      budget.onRequest();
+    }
+    CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+    new Attempts(call, result).next();
+    return result;
+  }
+
+  private EndpointStats stats(String endpoint) {
+    return statsByEndpoint.computeIfAbsent(endpoint, any -> new EndpointStats());
+  }
+
+  private Optional<Route> choose(ServiceCall call, Set<String> excluded) {
+    RoutingTable table = routes.get();
+    long nowMs = nowMs();
+    List<EndpointView> views =
+        table.ofPool(call.pool()).stream().map(route -> view(route, nowMs)).toList();
+    RequestTraits traits =
+        new RequestTraits(RequestClass.INTERACTIVE, zone, 0, 0, 1, excluded);
+    return new EndpointSelector(ThreadLocalRandom.current())
+        .choose(views, traits, nowMs)
+        .flatMap(table::ofName);
+  }
+
+  private EndpointView view(Route route, long nowMs) {
+    EndpointTarget target = route.target();
+    EndpointStats stats = stats(target.name());
+    synchronized (stats) {
+      stats.update(nowMs, 0);
+      return stats
+          .view(target.name(), target.zone(), nowMs)
+          .limit(LIMIT)
+          .inService(route.view().inService())
+          .build();
+    }
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** The attempts of one call, which follow each other. */
+  private final class Attempts {
+    private final ServiceCall call;
+    private final CompletableFuture<HttpAnswer> result;
+    private final Set<String> excluded = new HashSet<>();
+    private final Backoff backoff =
+        new Backoff(BACKOFF_MS, MAX_BACKOFF_MS, ThreadLocalRandom.current());
+    private int attempts;
+
+    private Attempts(ServiceCall call, CompletableFuture<HttpAnswer> result) {
+      this.call = call;
+      this.result = result;
+    }
+
+    private void next() {
+      long remainingMs = TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - System.nanoTime());
+      if (remainingMs <= 0) {
+        fail(ErrorCode.DEADLINE_EXCEEDED, Outcome.NOT_RUN, "out of time");
+        return;
+      }
+      Optional<Route> route = choose(call, excluded);
+      if (route.isEmpty()) {
+        excluded.clear();
+        retryOr(ErrorCode.NO_ENDPOINT, Outcome.NOT_RUN, "no endpoint of " + call.pool());
+        return;
+      }
+      send(route.get().target(), Math.clamp(remainingMs, 1, Integer.MAX_VALUE));
+    }
+
+    private void send(EndpointTarget target, int timeoutMs) {
+      attempts++;
+      HttpRequest.Builder request =
+          HttpRequest.builder(call.method(), target.address(), call.target())
+              .body(call.body())
+              .timeoutMs(timeoutMs);
+      call.headers().forEach(request::header);
+      request.header("x-request-id", call.id()).header("x-attempt", Integer.toString(attempts));
+      if (!call.repeatable()) {
+        request.freshConnection();
+      }
+      EndpointStats stats = stats(target.name());
+      long startMs = nowMs();
+      synchronized (stats) {
+        stats.onStart(startMs);
+      }
+      client
+          .call(request.build())
+          .whenComplete((answer, failure) -> onDone(target, startMs, answer, failure));
+    }
+
+    private void onDone(
+        EndpointTarget target, long startMs, HttpAnswer answer, Throwable failure) {
+      long nowMs = nowMs();
+      EndpointStats stats = stats(target.name());
+      synchronized (stats) {
+        if (failure == null) {
+          stats.onFirstToken(nowMs, nowMs - startMs);
+          stats.onTokens(nowMs, nowMs - startMs, 1);
+          stats.onSuccess();
+        } else {
+          stats.onFailure(nowMs);
+        }
+      }
+      if (failure != null) {
+        excluded.add(target.name());
+        onFailed(target, failure);
+      } else if (refused(answer)) {
+        excluded.add(target.name());
+        retryOr(ErrorCode.OVERLOADED, Outcome.NOT_RUN, target.name() + " refused");
+      } else {
+        result.complete(answer);
+      }
+    }
+
+    private void onFailed(EndpointTarget target, Throwable failure) {
+      boolean maybeSent = !(failure instanceof HttpFailure http) || http.maybeSent();
+      String message = "endpoint " + target.name() + ": " + failure.getMessage();
+      if (!maybeSent) {
+        retryOr(ErrorCode.ENDPOINT_FAILED, Outcome.NOT_RUN, message);
+      } else if (call.repeatable()) {
+        retryOr(ErrorCode.ENDPOINT_FAILED, Outcome.UNKNOWN, message);
+      } else {
+        fail(ErrorCode.ENDPOINT_FAILED, Outcome.UNKNOWN, message);
+      }
+    }
+
+    private void retryOr(ErrorCode code, Outcome outcome, String message) {
+      boolean allowed = outcome == Outcome.NOT_RUN || tryRetry();
+      if (attempts + 1 > MAX_ATTEMPTS || !allowed) {
+        fail(code, outcome, message);
+        return;
+      }
+      if (code == ErrorCode.NO_ENDPOINT) {
+        attempts++;
+      }
+      CompletableFuture.delayedExecutor(
+              backoff.waitMs(Math.max(1, attempts)), TimeUnit.MILLISECONDS)
+          .execute(this::next);
+    }
+
+    private boolean tryRetry() {
+      synchronized (budget) {
+        return budget.tryRetry();
+      }
+    }
+
+    private void fail(ErrorCode code, Outcome outcome, String message) {
+      result.completeExceptionally(new SycamoreException(code, outcome, message));
+    }
+  }
+
+  /** Returns whether an answer says that the endpoint refused the call as not run. */
+  private static boolean refused(HttpAnswer answer) {
+    if (answer.status() != 503 && answer.status() != 429) {
+      return false;
+    }
+    try {
+      String outcome = Json.parse(answer.body()).path("error").path("outcome").asText();
+      return outcome.equals(Outcome.NOT_RUN.wireName());
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+}
