--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
@@ -0,0 +1,269 @@
+package org.sycamoretrack.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnd;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnded;
+import org.sycamoretrack.standins.history.HistoryRecord.PollSent;
+import org.sycamoretrack.standins.history.HistoryRecord.SampleReceived;
+import org.sycamoretrack.standins.history.HistoryRecord.StepOpened;
+import org.sycamoretrack.standins.history.Span;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/**
+ * One step of a trainer: opens it, then polls until every slot has its sample.
+ *
+ * <p>One poll is under way at a time. A poll that does not answer in time is abandoned, which closes
+ * its connection, before the next is sent, possibly to another node. A node that does not know the
+ * step is told it again. Confined to the trainer's thread, but for the count of samples.
+ */
+final class StepRun {
+  private static final int WAIT_MS = 2_000;
+  private static final int POLL_TIMEOUT_MS = WAIT_MS + 5_000;
+  private static final int IMPATIENT_TIMEOUT_MS = 40;
+  private static final int OPEN_TIMEOUT_MS = 5_000;
+  private static final int MAX_SAMPLES = 256;
+  private static final int RETRY_PAUSE_MS = 50;
+
+  private final DriverContext context;
+  private final Deployment.Trainer trainer;
+  private final int step;
+  private final int trainsVersion;
+  private final double abandonShare;
+  private final long timeoutMs;
+  private final Random random;
+  private final AtomicInteger progress;
+  private final String target;
+  private final ObjectNode spec;
+  private final BitSet received = new BitSet();
+  private final Set<Integer> versions = new HashSet<>();
+  private int duplicates;
+  private int stale;
+  private int malformed;
+
+  StepRun(
+      DriverContext context,
+      Deployment.Trainer trainer,
+      int step,
+      int trainsVersion,
+      TrainerOptions options,
+      AtomicInteger progress) {
+    this.context = context;
+    this.trainer = trainer;
+    this.step = step;
+    this.trainsVersion = trainsVersion;
+    this.abandonShare = options.abandonShare();
+    this.timeoutMs = options.stepTimeoutMs();
+    this.random = new Random(options.seed() + step);
+    this.progress = progress;
+    this.target = "/v1/tracks/" + trainer.name() + "/steps/" + step;
+    this.spec = spec(options.seed());
+  }
+
+  private ObjectNode spec(long seed) {
+    ObjectNode json =
+        Json.object().put("trainsVersion", trainsVersion).put("maxTokens", trainer.maxTokens());
+    ArrayNode groups = json.putArray("groups");
+    for (int group = 0; group < trainer.groups(); group++) {
+      groups
+          .addObject()
+          .put("prompt", prompt(group))
+          .put("samples", trainer.samplesPerGroup())
+          .put("seed", seed * trainer.groups() + group);
+    }
+    return json;
+  }
+
+  private String prompt(int group) {
+    return trainer.name() + " step " + step + " group " + group;
+  }
+
+  /** Runs the step to its end or its timeout, and returns what was counted. */
+  TrainerReport run() {
+    long startNs = System.nanoTime();
+    long timeoutNs = TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    context
+        .history()
+        .add(
+            new StepOpened(
+                System.currentTimeMillis(),
+                trainer.name(),
+                step,
+                trainer.slots(),
+                trainer.maxVersionLag()));
+    NodeAddress node = context.balancer().choose(trainer.zone());
+    boolean open = false;
+    for (int poll = 1;
+        received.cardinality() < trainer.slots() && System.nanoTime() - startNs < timeoutNs;
+        poll++) {
+      open = open || open(node);
+      PollResult result = open ? poll(node, poll) : PollResult.NODE_FAILED;
+      if (result == PollResult.STEP_UNKNOWN) {
+        open = false;
+      } else if (result == PollResult.NODE_FAILED) {
+        context.balancer().onFailure(node);
+        DriverContext.pause(RETRY_PAUSE_MS);
+      }
+      if (result != PollResult.ANSWERED && result != PollResult.STEP_UNKNOWN) {
+        NodeAddress next = context.balancer().choose(trainer.zone());
+        open = open && next.zone().equals(node.zone());
+        node = next;
+      }
+    }
+    close(node);
+    return report(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
+  }
+
+  private enum PollResult {
+    ANSWERED,
+    ABANDONED,
+    STEP_UNKNOWN,
+    NODE_FAILED
+  }
+
+  private boolean open(NodeAddress node) {
+    try {
+      HttpRequest request =
+          HttpRequest.builder("PUT", node.trainer(), target)
+              .json(spec)
+              .timeoutMs(OPEN_TIMEOUT_MS)
+              .build();
+      return context.call(request, node, trainer.zone()).status() == 200;
+    } catch (HttpFailure e) {
+      return false;
+    }
+  }
+
+  private PollResult poll(NodeAddress node, int number) {
+    String pollId = trainer.name() + "/" + step + "/" + number;
+    boolean impatient = random.nextDouble() < abandonShare;
+    long nowMs = System.currentTimeMillis();
+    context
+        .history()
+        .add(new PollSent(nowMs, pollId, trainer.name(), step, node.nodeId(), trainsVersion));
+    try {
+      HttpRequest request =
+          HttpRequest.builder("POST", node.trainer(), target + "/poll")
+              .json(pollBody())
+              .timeoutMs(impatient ? random.nextInt(1, IMPATIENT_TIMEOUT_MS) : POLL_TIMEOUT_MS)
+              .build();
+      return onAnswer(pollId, context.call(request, node, trainer.zone()));
+    } catch (HttpFailure e) {
+      boolean abandoned = e.kind() == HttpFailure.Kind.TIMED_OUT;
+      end(pollId, abandoned ? PollEnd.ABANDONED : PollEnd.BROKEN);
+      return abandoned && impatient ? PollResult.ABANDONED : PollResult.NODE_FAILED;
+    }
+  }
+
+  private ObjectNode pollBody() {
+    return Json.object()
+        .put("received", Base64.getEncoder().encodeToString(received.toByteArray()))
+        .put("trainsVersion", trainsVersion)
+        .put("waitMs", WAIT_MS)
+        .put("maxSamples", MAX_SAMPLES);
+  }
+
+  private PollResult onAnswer(String pollId, HttpAnswer answer) {
+    if (answer.status() != 200) {
+      end(pollId, PollEnd.REFUSED);
+      return answer.status() == 404 ? PollResult.STEP_UNKNOWN : PollResult.NODE_FAILED;
+    }
+    for (JsonNode sample : answer.json().path("samples")) {
+      take(pollId, sample);
+    }
+    end(pollId, PollEnd.ANSWERED);
+    return PollResult.ANSWERED;
+  }
+
+  private void end(String pollId, PollEnd end) {
+    context.history().add(new PollEnded(System.currentTimeMillis(), pollId, end));
+  }
+
+  private void take(String pollId, JsonNode sample) {
+    int slot = sample.path("slot").asInt(-1);
+    List<Span> spans = spans(sample);
+    String text = sample.path("text").asText();
+    int tokens = sample.path("tokens").asInt();
+    String prompt = prompt(Math.max(0, slot) / trainer.samplesPerGroup());
+    context
+        .history()
+        .add(
+            new SampleReceived(
+                System.currentTimeMillis(), pollId, slot, prompt, text, tokens, spans));
+    if (slot < 0 || slot >= trainer.slots()) {
+      malformed++;
+      return;
+    }
+    if (received.get(slot)) {
+      duplicates++;
+      return;
+    }
+    received.set(slot);
+    progress.incrementAndGet();
+    if (!covers(spans, tokens)) {
+      malformed++;
+    }
+    if (spans.stream().anyMatch(s -> s.version() < trainsVersion - trainer.maxVersionLag())) {
+      stale++;
+    }
+  }
+
+  private List<Span> spans(JsonNode sample) {
+    List<Span> spans = new ArrayList<>();
+    for (JsonNode span : sample.path("spans")) {
+      int version = span.path("version").asInt(-1);
+      versions.add(version);
+      spans.add(
+          new Span(version, span.path("fromToken").asInt(-1), span.path("toToken").asInt(-1)));
+    }
+    return spans;
+  }
+
+  private static boolean covers(List<Span> spans, int tokens) {
+    int next = 0;
+    for (Span span : spans) {
+      if (span.fromToken() != next || span.toToken() <= next) {
+        return false;
+      }
+      next = span.toToken();
+    }
+    return next == tokens && tokens > 0;
+  }
+
+  private void close(NodeAddress node) {
+    try {
+      HttpRequest request =
+          HttpRequest.builder("DELETE", node.trainer(), target).timeoutMs(OPEN_TIMEOUT_MS).build();
+      context.call(request, node, trainer.zone());
+    } catch (HttpFailure e) {
+      // The node ends the step by itself when no poll comes.
+      context.balancer().onFailure(node);
+    }
+  }
+
+  /** Returns the versions that samples named. */
+  Set<Integer> versions() {
+    return versions;
+  }
+
+  private TrainerReport report(long idleMs) {
+    int delivered = received.cardinality();
+    int missing = trainer.slots() - delivered;
+    int completed = missing == 0 ? 1 : 0;
+    return new TrainerReport(
+        completed, trainer.slots(), delivered, duplicates, missing, stale, malformed, idleMs);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
@@ -0,0 +1,87 @@
+package org.sycamoretrack.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/**
+ * A trainer: for each step it reads the newest weight version, collects the step's samples, trains
+ * for a while and publishes the next version.
+ */
+public final class TrainerStandin {
+  private static final int PLATFORM_ATTEMPTS = 100;
+  private static final int PLATFORM_PAUSE_MS = 200;
+
+  private final DriverContext context;
+  private final Deployment.Trainer trainer;
+  private final TrainerOptions options;
+  private final AtomicInteger received = new AtomicInteger();
+
+  /**
+   * Creates a trainer.
+   *
+   * @param context what it shares with others
+   * @param trainer its part of the deployment
+   * @param options how it behaves
+   */
+  public TrainerStandin(
+      DriverContext context, Deployment.Trainer trainer, TrainerOptions options) {
+    this.context = context;
+    this.trainer = trainer;
+    this.options = options;
+  }
+
+  /** Returns the number of samples received so far. */
+  public int receivedCount() {
+    return received.get();
+  }
+
+  /** Trains all steps and returns what was counted. */
+  public TrainerReport run() {
+    TrainerReport total = TrainerReport.NONE;
+    int trainsVersion = versions().path("latest").asInt();
+    for (int step = 0; step < trainer.steps(); step++) {
+      StepRun run = new StepRun(context, trainer, step, trainsVersion, options, received);
+      total = total.plus(run.run()).plus(unknownVersions(run.versions()));
+      DriverContext.pause(trainer.trainTimeMs());
+      trainsVersion = publishNext();
+    }
+    return total;
+  }
+
+  private TrainerReport unknownVersions(Set<Integer> named) {
+    Set<Integer> unknown = new HashSet<>(named);
+    versions().path("versions").forEach(version -> unknown.remove(version.asInt()));
+    return new TrainerReport(0, 0, 0, 0, 0, 0, unknown.size(), 0);
+  }
+
+  private JsonNode versions() {
+    return platform("GET", "/models/" + trainer.pool() + "/versions");
+  }
+
+  private int publishNext() {
+    int next = versions().path("latest").asInt() + 1;
+    platform("PUT", "/models/" + trainer.pool() + "/versions/" + next);
+    return next;
+  }
+
+  private JsonNode platform(String method, String target) {
+    for (int attempt = 0; attempt < PLATFORM_ATTEMPTS; attempt++) {
+      try {
+        HttpAnswer answer =
+            context.call(HttpRequest.builder(method, context.platform(), target).build());
+        if (answer.status() == 200) {
+          return answer.json();
+        }
+      } catch (HttpFailure e) {
+        // An outage of the platform: tried again below.
+      }
+      DriverContext.pause(PLATFORM_PAUSE_MS);
+    }
+    throw new IllegalStateException("the platform does not answer " + method + " " + target);
+  }
+}
--- a/standins/src/main/java/org/sycamoretrack/standins/history/HistoryRecord.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/history/HistoryRecord.java
@@ -113,7 +113,7 @@
    * @param repeatable whether it may run more than once
    * @param key the idempotency key, or null
    * @param prompt the prompt of a completion, or null for a call of a plain service
-   * @param expected the whole answer of a call of a plain service, or null for a completion
+   * @param expected the whole answer that belongs to the request, or null when it isn't known
    */
   record RequestSent(
       long atMs,
@@ -131,7 +131,8 @@
    * @param atMs when
    * @param requestId names the sending
    * @param answer the text received
-   * @param tokens tokens that the answer says it has; 0 for other than completions
+   * @param tokens tokens that the answer says it has; 0 for other than completions, -1 when a
+   *     completion ended without its end marker
    */
   record RequestAnswered(long atMs, String requestId, String answer, int tokens)
       implements HistoryRecord {}
--- a/standins/src/main/java/org/sycamoretrack/standins/history/InvariantChecker.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/history/InvariantChecker.java
@@ -202,10 +202,11 @@
   }
 
   private void checkWholeAnswer(RequestSent request, RequestAnswered answer) {
+    if (request.expected() != null && !answer.answer().equals(request.expected())) {
+      report(Promise.WHOLE_ANSWER, "not the answer to this request", request, answer);
+      return;
+    }
     if (request.prompt() == null) {
-      if (!answer.answer().equals(request.expected())) {
-        report(Promise.WHOLE_ANSWER, "not the answer to this request", request, answer);
-      }
       return;
     }
     List<String> tokens = tokens(answer.answer());
