--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Balancer.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Balancer.java
@@ -54,8 +54,7 @@
     return candidates.get(Math.floorMod(turn, candidates.size()));
   }
 
-  private static List<NodeAddress> filter(
-      List<NodeAddress> all, Predicate<NodeAddress> predicate) {
+  private static List<NodeAddress> filter(List<NodeAddress> all, Predicate<NodeAddress> predicate) {
     return all.stream().filter(predicate).toList();
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Call.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Call.java
@@ -60,8 +60,7 @@
             .put("max_tokens", caller.maxTokens())
             .put("seed", number)
             .put("stream", number % 2 == 0);
-    return new Call(
-        "POST", "/v1/completions", body, null, true, prompt, generation.text(tokens));
+    return new Call("POST", "/v1/completions", body, null, true, prompt, generation.text(tokens));
   }
 
   /** Returns the request for one sending. */
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/CallerStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/CallerStandin.java
@@ -19,9 +19,9 @@
 /**
  * A floor terminal, a booking counter or another caller of interactive requests, at a fixed pace.
  *
- * <p>A call is sent again only when that is safe: when it was refused as not run, when it carries an
- * idempotency key, or when it has no effect that could be doubled. Each sending has a request id of
- * its own. A call succeeds when an answer with the expected content arrived whole.
+ * <p>A call is sent again only when that is safe: when it was refused as not run, when it carries
+ * an idempotency key, or when it has no effect that could be doubled. Each sending has a request id
+ * of its own. A call succeeds when an answer with the expected content arrived whole.
  */
 public final class CallerStandin implements AutoCloseable {
   private static final int TIMEOUT_MS = 20_000;
@@ -180,18 +180,14 @@
   private Sending onRefusal(Call call, String requestId, JsonNode error) {
     String code = error.path("code").asText("none");
     String outcome = error.path("outcome").asText("none");
-    context
-        .history()
-        .add(new RequestRefused(System.currentTimeMillis(), requestId, code, outcome));
+    context.history().add(new RequestRefused(System.currentTimeMillis(), requestId, code, outcome));
     boolean mayRepeat = outcome.equals("not-run") || call.repeatable() || call.key() != null;
     boolean nodeFailed = code.equals("stopping") || code.equals("peer-unavailable");
     return new Sending(code + " " + error.path("message").asText(), mayRepeat, nodeFailed);
   }
 
   private Sending onText(Call call, String requestId, String text, int tokens) {
-    context
-        .history()
-        .add(new RequestAnswered(System.currentTimeMillis(), requestId, text, tokens));
+    context.history().add(new RequestAnswered(System.currentTimeMillis(), requestId, text, tokens));
     if (text.equals(call.expected()) && tokens >= 0) {
       return Sending.OK;
     }
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Endpoint.java
@@ -0,0 +1,13 @@
+package org.sycamoretrack.standins.driver;
+
+import java.net.InetSocketAddress;
+
+/**
+ * An endpoint of a running deployment.
+ *
+ * @param name its name
+ * @param pool its pool
+ * @param zone its zone
+ * @param address where it listens
+ */
+public record Endpoint(String name, Deployment.Pool pool, String zone, InetSocketAddress address) {}
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/JournalCollector.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/JournalCollector.java
@@ -68,7 +68,8 @@
       long atMs = call.path("atMs").asLong();
       String requestId = call.path("requestId").asText();
       history.add(new WorkReceived(atMs, endpoint, requestId));
-      String key = call.path("idempotencyKey").isTextual() ? call.get("idempotencyKey").asText() : null;
+      String key =
+          call.path("idempotencyKey").isTextual() ? call.get("idempotencyKey").asText() : null;
       history.add(new CallExecuted(atMs, endpoint, requestId, key));
     }
   }
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/LaunchOptions.java
@@ -0,0 +1,28 @@
+package org.sycamoretrack.standins.driver;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * How the processes of a deployment are started.
+ *
+ * @param nodeCommand program and arguments of a node, up to its own options
+ * @param standinCommand program and arguments of the stand-ins, up to the sub-command
+ * @param runDirectory where settings and logs go
+ * @param platformOptions further options of the platform
+ * @param engineOptions further options of the engines
+ */
+public record LaunchOptions(
+    List<String> nodeCommand,
+    List<String> standinCommand,
+    Path runDirectory,
+    List<String> platformOptions,
+    List<String> engineOptions) {
+  /** Copies the lists. */
+  public LaunchOptions {
+    nodeCommand = List.copyOf(nodeCommand);
+    standinCommand = List.copyOf(standinCommand);
+    platformOptions = List.copyOf(platformOptions);
+    engineOptions = List.copyOf(engineOptions);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/ManagedProcess.java
@@ -0,0 +1,146 @@
+package org.sycamoretrack.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * An operating-system process that prints one line of JSON when it is ready, and logs on standard
+ * error to a file.
+ */
+public final class ManagedProcess {
+  private static final int READY_TIMEOUT_MS = 60_000;
+  private static final int KILL_TIMEOUT_MS = 5_000;
+
+  private final String name;
+  private final Path log;
+  private final Process process;
+  private final CompletableFuture<JsonNode> ready = new CompletableFuture<>();
+
+  private ManagedProcess(String name, Path log, Process process) {
+    this.name = name;
+    this.log = log;
+    this.process = process;
+  }
+
+  /**
+   * Starts a process.
+   *
+   * @param name names it in messages and its log file
+   * @param command program and arguments
+   * @param logDirectory where its log is appended
+   * @return the process, which may not be ready yet
+   */
+  public static ManagedProcess start(String name, List<String> command, Path logDirectory) {
+    Path log = logDirectory.resolve(name + ".log");
+    try {
+      Process process =
+          new ProcessBuilder(command)
+              .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+              .start();
+      ManagedProcess managed = new ManagedProcess(name, log, process);
+      Thread.ofVirtual().name(name + "-output").start(managed::readOutput);
+      return managed;
+    } catch (IOException e) {
+      throw new UncheckedIOException("can't start " + name, e);
+    }
+  }
+
+  private void readOutput() {
+    try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
+      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+        if (!ready.isDone() && line.startsWith("{")) {
+          ready.complete(Json.parse(line.getBytes(StandardCharsets.UTF_8)));
+        }
+      }
+    } catch (IOException e) {
+      ready.completeExceptionally(e);
+    }
+    ready.completeExceptionally(new IllegalStateException(name + " ended; see " + log));
+  }
+
+  /**
+   * Waits until the process is ready.
+   *
+   * @return the line that it printed
+   * @throws IllegalStateException when it ends first or takes too long
+   */
+  public JsonNode awaitReady() {
+    try {
+      return ready.get(READY_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException(name + " did not become ready; see " + log, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Returns whether the process runs. */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Asks the process to stop, without waiting. */
+  public void requestStop() {
+    process.destroy();
+  }
+
+  /**
+   * Waits for the end of the process and kills it when that takes too long.
+   *
+   * @param timeoutMs longest wait in milliseconds
+   * @return its exit code
+   */
+  public int awaitEnd(int timeoutMs) {
+    try {
+      if (!process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)) {
+        kill();
+      }
+      return process.waitFor();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Kills the process and waits for its end. */
+  public void kill() {
+    try {
+      process.destroyForcibly().waitFor(KILL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Freezes the process, as a long pause of its host does. */
+  public void freeze() {
+    signal("STOP");
+  }
+
+  /** Lets a frozen process go on. */
+  public void wake() {
+    signal("CONT");
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException("can't signal " + name, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/OperatorClient.java
@@ -0,0 +1,160 @@
+package org.sycamoretrack.standins.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.standins.history.HistoryRecord.ConfigAccepted;
+import org.sycamoretrack.standins.history.HistoryRecord.ConfigObserved;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/** Changes the configuration through the operator ports of the nodes. */
+public final class OperatorClient {
+  private static final int ATTEMPTS = 100;
+  private static final int PAUSE_MS = 100;
+
+  private final DriverContext context;
+
+  /**
+   * Creates a client.
+   *
+   * @param context the nodes and the history
+   */
+  public OperatorClient(DriverContext context) {
+    this.context = context;
+  }
+
+  /**
+   * Creates the resources of a deployment.
+   *
+   * @param endpoints the running endpoints
+   */
+  public void apply(List<Endpoint> endpoints) {
+    Deployment deployment = context.deployment();
+    for (Deployment.Pool pool : deployment.pools()) {
+      put("pools", pool.name(), Map.of("site", deployment.name()), poolSpec(pool));
+      if (pool.type() == Deployment.PoolType.service) {
+        put("services", pool.name(), Map.of(), Json.object().put("pool", pool.name()));
+      }
+    }
+    for (Endpoint endpoint : endpoints) {
+      put("endpoints", endpoint.name(), Map.of(), endpointSpec(endpoint));
+    }
+    for (Deployment.Trainer trainer : deployment.trainers()) {
+      ObjectNode group = Json.object();
+      group.putObject("poolSelector").putObject("matchLabels").put("name", trainer.pool());
+      put("trainer-groups", trainer.name(), Map.of(), group);
+      ObjectNode track =
+          Json.object()
+              .put("trainerGroup", trainer.name())
+              .put("maxVersionLag", trainer.maxVersionLag());
+      put("tracks", trainer.name(), Map.of(), track);
+    }
+  }
+
+  private static ObjectNode poolSpec(Deployment.Pool pool) {
+    ObjectNode spec = Json.object().put("type", pool.type().name());
+    if (pool.type() == Deployment.PoolType.model) {
+      spec.put("model", pool.name()).put("checksFence", true);
+    }
+    return spec;
+  }
+
+  private static ObjectNode endpointSpec(Endpoint endpoint) {
+    return Json.object()
+        .put("pool", endpoint.pool().name())
+        .put("address", endpoint.address().getAddress().getHostAddress())
+        .put("port", endpoint.address().getPort())
+        .put("zone", endpoint.zone());
+  }
+
+  /**
+   * Creates or changes a resource, until a node accepts it.
+   *
+   * @param kind the kind
+   * @param name the name
+   * @param labels the labels
+   * @param spec the spec
+   */
+  public void put(String kind, String name, Map<String, String> labels, ObjectNode spec) {
+    ObjectNode resource = Json.object().put("kind", kind).put("name", name);
+    resource.set("labels", Json.mapper().valueToTree(labels));
+    resource.set("spec", spec);
+    change("PUT", "/v1/resources/" + kind + "/" + name, resource);
+  }
+
+  /**
+   * Removes a resource, until a node accepts it.
+   *
+   * @param kind the kind
+   * @param name the name
+   */
+  public void delete(String kind, String name) {
+    change("DELETE", "/v1/resources/" + kind + "/" + name, null);
+  }
+
+  private void change(String method, String target, ObjectNode body) {
+    String problem = "";
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      NodeAddress node = context.balancer().choose(null);
+      HttpRequest.Builder request = HttpRequest.builder(method, node.operator(), target);
+      try {
+        HttpAnswer answer = context.call((body == null ? request : request.json(body)).build());
+        if (answer.status() == 200) {
+          observe(node, true);
+          return;
+        }
+        problem = answer.status() + " " + answer.json();
+      } catch (HttpFailure e) {
+        problem = e.getMessage();
+        context.balancer().onFailure(node);
+      }
+      DriverContext.pause(PAUSE_MS);
+    }
+    throw new IllegalStateException(method + " " + target + " was not accepted: " + problem);
+  }
+
+  /**
+   * Reads the configuration that a node applies into the history.
+   *
+   * @param node the node
+   * @return its version
+   * @throws HttpFailure when the node does not answer
+   */
+  public long observe(NodeAddress node) {
+    return observe(node, false);
+  }
+
+  private long observe(NodeAddress node, boolean accepted) {
+    HttpRequest request = HttpRequest.builder("GET", node.operator(), "/v1/configuration").build();
+    JsonNode json = context.call(request).json();
+    long version = json.path("version").asLong();
+    long nowMs = System.currentTimeMillis();
+    if (accepted) {
+      context.history().add(new ConfigAccepted(nowMs, version));
+    }
+    String digest = Integer.toHexString(json.path("resources").toString().hashCode());
+    context.history().add(new ConfigObserved(nowMs, node.nodeId(), version, digest));
+    return version;
+  }
+
+  /**
+   * Waits until every node applies the newest configuration that any of them applies.
+   *
+   * @throws IllegalStateException when that takes too long
+   */
+  public void awaitInForce() {
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+      List<Long> versions =
+          context.balancer().nodes().stream().map(this::observe).distinct().toList();
+      if (versions.size() == 1) {
+        return;
+      }
+      DriverContext.pause(PAUSE_MS);
+    }
+    throw new IllegalStateException("the configuration did not reach every node");
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Quickstart.java
@@ -0,0 +1,113 @@
+package org.sycamoretrack.standins.driver;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.sycamoretrack.standins.history.InvariantChecker;
+import org.sycamoretrack.standins.history.Promise;
+import org.sycamoretrack.standins.history.Violation;
+
+/**
+ * One run of a deployment's trainers beside its callers, judged by what they received.
+ *
+ * <p>The callers call from before the first step is opened until the last trainer has ended. Then
+ * the journals of the endpoints are read and the whole history is checked.
+ */
+public final class Quickstart {
+  private static final long STEP_TIMEOUT_MS = 180_000;
+  private static final int PROGRESS_PERIOD_MS = 1_000;
+  private static final int MAX_SHOWN = 10;
+
+  private final Launcher launcher;
+  private final Consumer<String> progress;
+  private final List<TrainerStandin> trainers = new ArrayList<>();
+  private final List<CallerStandin> callers = new ArrayList<>();
+
+  /**
+   * Creates a run.
+   *
+   * @param launcher the running deployment
+   * @param progress receives lines for people
+   */
+  public Quickstart(Launcher launcher, Consumer<String> progress) {
+    this.launcher = launcher;
+    this.progress = progress;
+  }
+
+  /** Runs all trainers to their end and returns what was counted. */
+  public QuickstartReport run() {
+    DriverContext context = launcher.context();
+    long startNs = System.nanoTime();
+    long seed = 1;
+    for (Deployment.Trainer trainer : context.deployment().trainers()) {
+      TrainerOptions options = new TrainerOptions(seed++, STEP_TIMEOUT_MS, 0);
+      trainers.add(new TrainerStandin(context, trainer, options));
+    }
+    for (Deployment.Caller caller : context.deployment().callers()) {
+      callers.add(CallerStandin.start(context, caller));
+    }
+    ScheduledExecutorService printer = Executors.newSingleThreadScheduledExecutor();
+    printer.scheduleAtFixedRate(
+        this::showProgress, PROGRESS_PERIOD_MS, PROGRESS_PERIOD_MS, TimeUnit.MILLISECONDS);
+    try {
+      List<TrainerReport> trained = train();
+      List<CallerReport> called = callers.stream().map(CallerStandin::stop).toList();
+      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+      showProgress();
+      return judge(trained, called, elapsedMs);
+    } finally {
+      printer.shutdownNow();
+      callers.forEach(CallerStandin::close);
+    }
+  }
+
+  private List<TrainerReport> train() {
+    List<CompletableFuture<TrainerReport>> runs = new ArrayList<>();
+    for (TrainerStandin trainer : trainers) {
+      CompletableFuture<TrainerReport> run = new CompletableFuture<>();
+      Thread.ofVirtual().start(() -> run.completeAsync(trainer::run, Runnable::run));
+      runs.add(run);
+    }
+    return runs.stream().map(CompletableFuture::join).toList();
+  }
+
+  private QuickstartReport judge(
+      List<TrainerReport> trained, List<CallerReport> called, long elapsedMs) {
+    for (int i = 0; i < called.size(); i++) {
+      progress.accept(
+          launcher.context().deployment().callers().get(i).name() + ": " + called.get(i));
+    }
+    callers.forEach(caller -> caller.notes().forEach(note -> progress.accept("failed: " + note)));
+    launcher.collectJournals();
+    List<Violation> violations = InvariantChecker.check(launcher.context().history());
+    violations.stream()
+        .limit(MAX_SHOWN)
+        .forEach(violation -> progress.accept("violation: " + violation));
+    long untrue = violations.stream().filter(v -> v.promise() == Promise.TRUE_VERSIONS).count();
+    if (violations.size() > untrue) {
+      progress.accept("other violations: " + (violations.size() - untrue));
+    }
+    return QuickstartReport.of(trained, called, (int) untrue, elapsedMs);
+  }
+
+  private void showProgress() {
+    StringBuilder line = new StringBuilder();
+    List<Deployment.Trainer> plans = launcher.context().deployment().trainers();
+    for (int i = 0; i < trainers.size(); i++) {
+      Deployment.Trainer plan = plans.get(i);
+      line.append(plan.name())
+          .append(' ')
+          .append(trainers.get(i).receivedCount())
+          .append('/')
+          .append(plan.slots() * plan.steps())
+          .append(" samples, ");
+    }
+    int requests = callers.stream().mapToInt(CallerStandin::requestCount).sum();
+    int failed = callers.stream().mapToInt(CallerStandin::failedCount).sum();
+    progress.accept(line.append(requests + " requests, " + failed + " failed").toString());
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -0,0 +1,88 @@
+package org.sycamoretrack.standins.driver;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.standins.process.Command;
+import org.sycamoretrack.standins.process.Standins;
+import org.sycamoretrack.transport.process.Json;
+
+/** Starts a deployment, runs its trainers and callers, and prints what they counted. */
+@Parameters(commandDescription = "A whole deployment with one training step beside callers")
+public final class QuickstartCommand implements Command {
+  private static final int EXIT_NOT_CLEAN = 1;
+  private static final int EXIT_USAGE = 2;
+
+  @Parameter(names = "--config", description = "File of the deployment")
+  private String config = "deploy/quickstart.json";
+
+  @Parameter(names = "--serve", description = "Leave it running until it is stopped")
+  private boolean serve;
+
+  @Parameter(names = "--daemon-jar", description = "Jar of a node")
+  private String daemonJar = "daemon/target/sycamoretrack-daemon-0.1.0-SNAPSHOT-all.jar";
+
+  @Parameter(names = "--standins-jar", description = "Jar of the stand-ins")
+  private String standinsJar = "standins/target/sycamoretrack-standins-0.1.0-SNAPSHOT-all.jar";
+
+  @Parameter(names = "--run-directory", description = "Where settings and logs go")
+  private String runDirectory = ".run/quickstart";
+
+  /** Creates the command with its defaults. */
+  public QuickstartCommand() {}
+
+  @Override
+  public String name() {
+    return "quickstart";
+  }
+
+  @Override
+  public int run() throws InterruptedException {
+    Deployment deployment;
+    try {
+      deployment = Deployment.read(Path.of(config));
+    } catch (IllegalArgumentException e) {
+      System.err.println("error invalid-request: " + e.getMessage());
+      return EXIT_USAGE;
+    }
+    System.err.println("starting " + deployment.name() + ", logs in " + runDirectory);
+    try (Launcher launcher = Launcher.start(deployment, options())) {
+      Runtime.getRuntime().addShutdownHook(new Thread(launcher::close));
+      if (serve) {
+        launcher.context().balancer().nodes().forEach(QuickstartCommand::show);
+        Standins.serve();
+      }
+      QuickstartReport report = new Quickstart(launcher, System.err::println).run();
+      Standins.printLine(report);
+      return report.isClean() ? 0 : EXIT_NOT_CLEAN;
+    }
+  }
+
+  private static void show(NodeAddress node) {
+    Standins.printLine(
+        Json.mapper()
+            .valueToTree(
+                Map.of(
+                    "nodeId", node.nodeId(),
+                    "zone", node.zone(),
+                    "caller", text(node.caller()),
+                    "trainer", text(node.trainer()),
+                    "operator", text(node.operator()))));
+  }
+
+  private static String text(java.net.InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  private LaunchOptions options() {
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    return new LaunchOptions(
+        List.of(java, "-Xmx64m", "-XX:+UseSerialGC", "-jar", daemonJar),
+        List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-jar", standinsJar),
+        Path.of(runDirectory),
+        List.of(),
+        List.of());
+  }
+}
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
@@ -26,9 +26,9 @@
 /**
  * One step of a trainer: opens it, then polls until every slot has its sample.
  *
- * <p>One poll is under way at a time. A poll that does not answer in time is abandoned, which closes
- * its connection, before the next is sent, possibly to another node. A node that does not know the
- * step is told it again. Confined to the trainer's thread, but for the count of samples.
+ * <p>One poll is under way at a time. A poll that does not answer in time is abandoned, which
+ * closes its connection, before the next is sent, possibly to another node. A node that does not
+ * know the step is told it again. Confined to the trainer's thread, but for the count of samples.
  */
 final class StepRun {
   private static final int WAIT_MS = 2_000;
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
@@ -28,8 +28,7 @@
    * @param trainer its part of the deployment
    * @param options how it behaves
    */
-  public TrainerStandin(
-      DriverContext context, Deployment.Trainer trainer, TrainerOptions options) {
+  public TrainerStandin(DriverContext context, Deployment.Trainer trainer, TrainerOptions options) {
     this.context = context;
     this.trainer = trainer;
     this.options = options;
--- a/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import org.sycamoretrack.standins.driver.QuickstartCommand;
 import org.sycamoretrack.transport.process.Json;
 
 /** The main class of the stand-ins: a registry of sub-commands. */
@@ -15,7 +16,8 @@
   private Standins() {}
 
   private static List<Command> commands() {
-    return List.of(new PlatformCommand(), new EngineCommand(), new ServiceCommand());
+    return List.of(
+        new PlatformCommand(), new EngineCommand(), new ServiceCommand(), new QuickstartCommand());
   }
 
   /**
