--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -4,10 +4,8 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import org.sycamoretrack.standins.process.Command;
 import org.sycamoretrack.standins.process.Standins;
-import org.sycamoretrack.transport.process.Json;
 
 /** Starts a deployment, runs its trainers and callers, and prints what they counted. */
 @Parameters(commandDescription = "A whole deployment with one training step beside callers")
@@ -51,7 +49,7 @@
     try (Launcher launcher = Launcher.start(deployment, options())) {
       Runtime.getRuntime().addShutdownHook(new Thread(launcher::close));
       if (serve) {
-        launcher.context().balancer().nodes().forEach(QuickstartCommand::show);
+        AddressLines.of(launcher.context()).forEach(Standins::printLine);
         Standins.serve();
       }
       QuickstartReport report = new Quickstart(launcher, System.err::println).run();
@@ -60,22 +58,6 @@
     }
   }
 
-  private static void show(NodeAddress node) {
-    Standins.printLine(
-        Json.mapper()
-            .valueToTree(
-                Map.of(
-                    "nodeId", node.nodeId(),
-                    "zone", node.zone(),
-                    "caller", text(node.caller()),
-                    "trainer", text(node.trainer()),
-                    "operator", text(node.operator()))));
-  }
-
-  private static String text(java.net.InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
-  }
-
   private LaunchOptions options() {
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     return new LaunchOptions(
--- a/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import org.sycamoretrack.standins.driver.CallerCommand;
 import org.sycamoretrack.standins.driver.QuickstartCommand;
+import org.sycamoretrack.standins.driver.TrainerCommand;
 import org.sycamoretrack.transport.process.Json;
 
 /** The main class of the stand-ins: a registry of sub-commands. */
@@ -17,7 +19,7 @@
 
   private static List<Command> commands() {
     return List.of(
-        new PlatformCommand(), new EngineCommand(), new ServiceCommand(), new QuickstartCommand());
+        new PlatformCommand(), new EngineCommand(), new ServiceCommand(), new TrainerCommand(), new CallerCommand(), new QuickstartCommand());
   }
 
   /**
