--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointHealth.java
@@ -0,0 +1,117 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.platform.HostList;
+import org.sycamoretrack.daemon.process.LogEvent;
+
+/**
+ * What endpoints and the platform say about endpoints: whether they are leaving, and which weights
+ * they serve.
+ *
+ * <p>The node that looks after an engine asks it for its load report; any node reads the host list.
+ * An endpoint is leaving when either says so. An engine that did not answer {@value
+ * #UNREACHABLE_AFTER} times in a row counts as not reachable. Thread-safe.
+ */
+public final class EndpointHealth {
+  private static final System.Logger LOG = System.getLogger(EndpointHealth.class.getName());
+  private static final int UNREACHABLE_AFTER = 3;
+
+  private final EngineClient engines;
+  private final Map<String, Report> reports = new ConcurrentHashMap<>();
+  private volatile Set<String> leavingHosts = Set.of();
+  private volatile long hostsAsOfNanos;
+
+  /**
+   * Creates a health without reports.
+   *
+   * @param engines asks engines for their reports
+   */
+  public EndpointHealth(EngineClient engines) {
+    this.engines = engines;
+  }
+
+  /**
+   * The newest report of an engine.
+   *
+   * @param leaving whether it is about to leave
+   * @param servedVersion the weight version that it serves
+   * @param failures calls in a row that got no answer
+   */
+  record Report(boolean leaving, long servedVersion, int failures) {
+    static final Report NONE = new Report(false, 0, 0);
+
+    boolean isReachable() {
+      return failures < UNREACHABLE_AFTER;
+    }
+  }
+
+  /**
+   * Asks engines for their load reports.
+   *
+   * @param targets the engines that this node looks after
+   */
+  public void poll(Collection<EndpointTarget> targets) {
+    for (EndpointTarget target : targets) {
+      engines.load(target.address()).whenComplete((load, failure) -> note(target, load, failure));
+    }
+  }
+
+  private void note(EndpointTarget target, EngineClient.Load load, Throwable failure) {
+    Report before = report(target.name());
+    if (failure != null) {
+      Report after = new Report(before.leaving(), before.servedVersion(), before.failures() + 1);
+      reports.put(target.name(), after);
+      logChange(target, before, after);
+      return;
+    }
+    Report after = new Report(load.leaving(), load.weightVersion(), 0);
+    reports.put(target.name(), after);
+    logChange(target, before, after);
+  }
+
+  private static void logChange(EndpointTarget target, Report before, Report after) {
+    if (before.leaving() != after.leaving() || before.isReachable() != after.isReachable()) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("endpoint-health")
+              .with("endpoint", target.name())
+              .with("leaving", after.leaving())
+              .with("reachable", after.isReachable()));
+    }
+  }
+
+  /** Returns the newest report of an engine. */
+  Report report(String endpoint) {
+    return reports.getOrDefault(endpoint, Report.NONE);
+  }
+
+  /**
+   * Takes over a host list.
+   *
+   * @param snapshot the list
+   */
+  public void onHostList(HostList.Snapshot snapshot) {
+    hostsAsOfNanos = System.nanoTime();
+    leavingHosts =
+        snapshot.hosts().stream()
+            .filter(host -> host.state() == HostList.State.LEAVING)
+            .map(host -> host.address() + ':' + host.port())
+            .collect(java.util.stream.Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns whether the host list says that an endpoint is leaving. */
+  boolean isLeavingHost(EndpointTarget target) {
+    return leavingHosts.contains(
+        target.address().getAddress().getHostAddress() + ':' + target.address().getPort());
+  }
+
+  /** Returns the age of the host list in milliseconds, for the state dump. */
+  public long hostListAgeMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - hostsAsOfNanos);
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceCaller.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceCaller.java
@@ -73,8 +73,7 @@
     long nowMs = nowMs();
     List<EndpointView> views =
         table.ofPool(call.pool()).stream().map(route -> view(route, nowMs)).toList();
-    RequestTraits traits =
-        new RequestTraits(RequestClass.INTERACTIVE, zone, 0, 0, 1, excluded);
+    RequestTraits traits = new RequestTraits(RequestClass.INTERACTIVE, zone, 0, 0, 1, excluded);
     return new EndpointSelector(ThreadLocalRandom.current())
         .choose(views, traits, nowMs)
         .flatMap(table::ofName);
@@ -147,14 +146,14 @@
           .whenComplete((answer, failure) -> onDone(target, startMs, answer, failure));
     }
 
-    private void onDone(
-        EndpointTarget target, long startMs, HttpAnswer answer, Throwable failure) {
+    private void onDone(EndpointTarget target, long startMs, HttpAnswer answer, Throwable failure) {
       long nowMs = nowMs();
       EndpointStats stats = stats(target.name());
       synchronized (stats) {
         if (failure == null) {
-          stats.onFirstToken(nowMs, nowMs - startMs);
-          stats.onTokens(nowMs, nowMs - startMs, 1);
+          double elapsedMs = nowMs - startMs;
+          stats.onFirstToken(nowMs, elapsedMs);
+          stats.onTokens(nowMs, elapsedMs, 1);
           stats.onSuccess();
         } else {
           stats.onFailure(nowMs);
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
@@ -29,10 +29,12 @@
 
   private final Channel channel;
   private final ChannelGroup connections;
+  private final ServerState state;
 
-  private HttpServer(Channel channel, ChannelGroup connections) {
+  private HttpServer(Channel channel, ChannelGroup connections, ServerState state) {
     this.channel = channel;
     this.connections = connections;
+    this.state = state;
   }
 
   /** Returns a builder. */
@@ -50,6 +52,20 @@
     channel.close().awaitUninterruptibly();
   }
 
+  /**
+   * Stops accepting connections, and lets each open one end with its next answer. Requests that
+   * arrive on open connections meanwhile are handled.
+   */
+  public void drain() {
+    state.drain();
+    stopAccepting();
+  }
+
+  /** Returns the number of requests that are being answered. */
+  public int inFlightCount() {
+    return state.inFlight().get();
+  }
+
   /** Returns the number of open connections. */
   public int connectionCount() {
     return connections.size();
@@ -148,6 +164,7 @@
     public HttpServer start() {
       Objects.requireNonNull(group, "group");
       Objects.requireNonNull(handler, "handler");
+      ServerState state = new ServerState(handler, maxBodyBytes, requestTimeoutMs);
       ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
       HttpDecoderConfig config =
           new HttpDecoderConfig()
@@ -167,11 +184,11 @@
                       connections.add(ch);
                       ch.pipeline()
                           .addLast(new HttpServerCodec(config))
-                          .addLast(new ServerConnection(handler, maxBodyBytes, requestTimeoutMs));
+                          .addLast(new ServerConnection(state));
                     }
                   });
       Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
-      return new HttpServer(channel, connections);
+      return new HttpServer(channel, connections, state);
     }
   }
 }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpAnswer;
-import org.sycamoretrack.transport.request.HttpHandler;
 
 /**
  * The server's side of one connection: puts requests together, hands them to the handler one at a
@@ -32,9 +31,7 @@
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int MAX_PIPELINED = 16;
 
-  private final HttpHandler handler;
-  private final int maxBodyBytes;
-  private final int requestTimeoutMs;
+  private final ServerState server;
   private final Queue<ServerExchange> waiting = new ArrayDeque<>();
   private HttpRequest head;
   private CompositeByteBuf body;
@@ -42,10 +39,8 @@
   private ServerExchange current;
   private boolean closing;
 
-  ServerConnection(HttpHandler handler, int maxBodyBytes, int requestTimeoutMs) {
-    this.handler = handler;
-    this.maxBodyBytes = maxBodyBytes;
-    this.requestTimeoutMs = requestTimeoutMs;
+  ServerConnection(ServerState server) {
+    this.server = server;
   }
 
   @Override
@@ -79,7 +74,8 @@
     body = ctx.alloc().compositeBuffer(Integer.MAX_VALUE);
     requestTimer =
         ctx.executor()
-            .schedule(() -> onRequestTimeout(ctx), requestTimeoutMs, TimeUnit.MILLISECONDS);
+            .schedule(
+                () -> onRequestTimeout(ctx), server.requestTimeoutMs(), TimeUnit.MILLISECONDS);
     if (HttpUtil.is100ContinueExpected(request)) {
       ctx.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -87,8 +83,8 @@
   }
 
   private void append(ChannelHandlerContext ctx, HttpContent content) {
-    if (body.readableBytes() + content.content().readableBytes() > maxBodyBytes) {
-      refuse(ctx, 413, "too-large", "the body is larger than " + maxBodyBytes + " bytes");
+    if (body.readableBytes() + content.content().readableBytes() > server.maxBodyBytes()) {
+      refuse(ctx, 413, "too-large", "the body is larger than " + server.maxBodyBytes() + " bytes");
       return;
     }
     body.addComponent(true, content.content().retain());
@@ -113,8 +109,9 @@
 
   private void start(ServerExchange exchange) {
     current = exchange;
+    server.inFlight().incrementAndGet();
     try {
-      handler.handle(exchange);
+      server.handler().handle(exchange);
     } catch (RuntimeException e) {
       System.getLogger(ServerConnection.class.getName())
           .log(System.Logger.Level.ERROR, "handler-failed", e);
@@ -124,7 +121,7 @@
 
   /** Goes on with the next request, after the current one was answered whole. */
   void onAnswered(ChannelHandlerContext ctx, boolean keepAlive) {
-    current = null;
+    endCurrent();
     if (!keepAlive) {
       closing = true;
       ctx.channel().close();
@@ -136,6 +133,18 @@
     }
   }
 
+  private void endCurrent() {
+    if (current != null) {
+      current = null;
+      server.inFlight().decrementAndGet();
+    }
+  }
+
+  /** Returns whether the connection ends with the answer that it carries. */
+  boolean isDraining() {
+    return server.isDraining() && waiting.isEmpty();
+  }
+
   private void onRequestTimeout(ChannelHandlerContext ctx) {
     if (head != null) {
       refuse(ctx, 408, "request-timeout", "the request did not arrive whole in time");
@@ -183,6 +192,7 @@
     waiting.clear();
     if (current != null) {
       current.abandon();
+      endCurrent();
     }
     ctx.fireChannelInactive();
   }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ServerExchange.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerExchange.java
@@ -29,7 +29,7 @@
   private final ChannelHandlerContext ctx;
   private final HttpRequest head;
   private final byte[] body;
-  private final boolean keepAlive;
+  private boolean keepAlive;
   private boolean answered;
   private boolean ended;
   private boolean abandoned;
@@ -94,6 +94,7 @@
     }
     answered = true;
     ended = true;
+    keepAlive &= !connection.isDraining();
     ctx.writeAndFlush(fullResponse(answer, keepAlive))
         .addListener(done -> connection.onAnswered(ctx, keepAlive && done.isSuccess()));
   }
@@ -123,6 +124,7 @@
       return;
     }
     answered = true;
+    keepAlive &= !connection.isDraining();
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     headers.forEach(response.headers()::set);
--- /dev/null
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerState.java
@@ -0,0 +1,44 @@
+package org.sycamoretrack.transport.connection;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/** What all connections of a server share. Thread-safe. */
+final class ServerState {
+  private final HttpHandler handler;
+  private final int maxBodyBytes;
+  private final int requestTimeoutMs;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile boolean draining;
+
+  ServerState(HttpHandler handler, int maxBodyBytes, int requestTimeoutMs) {
+    this.handler = handler;
+    this.maxBodyBytes = maxBodyBytes;
+    this.requestTimeoutMs = requestTimeoutMs;
+  }
+
+  HttpHandler handler() {
+    return handler;
+  }
+
+  int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  int requestTimeoutMs() {
+    return requestTimeoutMs;
+  }
+
+  AtomicInteger inFlight() {
+    return inFlight;
+  }
+
+  /** Returns whether connections end with the answer that they carry. */
+  boolean isDraining() {
+    return draining;
+  }
+
+  void drain() {
+    draining = true;
+  }
+}
--- a/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
+++ b/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
@@ -127,6 +127,21 @@
     assertThat(abandoned.await(5, TimeUnit.SECONDS)).isTrue();
   }
 
+  @Test
+  void drainingAnswersWhatIsInFlightAndEndsItsConnection() throws Exception {
+    try (Socket socket = new Socket(server.address().getAddress(), server.address().getPort())) {
+      String request = "POST /echo HTTP/1.1\r\ncontent-length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      byte[] first = new byte[1_000];
+      assertThat(socket.getInputStream().read(first)).isPositive();
+      server.drain();
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 200").contains("connection: close");
+    }
+    assertThat(server.inFlightCount()).isZero();
+  }
+
   @Test
   void noListenerMeansNotSent() {
     InetSocketAddress address = server.address();
