--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelEndpoint.java
@@ -0,0 +1,247 @@
+package org.sycamoretrack.bench.connection;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sycamoretrack.bench.request.ModelRequest;
+import org.sycamoretrack.core.connection.EndpointStats;
+import org.sycamoretrack.core.connection.EndpointView;
+import org.sycamoretrack.core.request.AdmissionQueue;
+import org.sycamoretrack.core.request.ConcurrencyLimit;
+import org.sycamoretrack.core.request.InFlight;
+import org.sycamoretrack.core.request.Polled;
+import org.sycamoretrack.core.request.RequestClass;
+
+/**
+ * What a node keeps for an endpoint, before a modelled engine: measurements, limit and queue.
+ *
+ * <p>Without a queue (baselines), requests are sent on as they come.
+ */
+public final class ModelEndpoint implements EngineModel.Listener {
+  private static final int TOKENS_PER_CHUNK = 8;
+  private static final double NS_PER_MS = 1e6;
+
+  private final String name;
+  private final String zone;
+  private final VirtualTime time;
+  private final EngineModel engine;
+  private final EndpointStats stats = new EndpointStats();
+  private final ConcurrencyLimit limit;
+  private final AdmissionQueue<ModelRequest> queue;
+  private final Consumer<ModelRequest> onEnd;
+  private final Map<ModelRequest, Chunk> running = new LinkedHashMap<>();
+  private InFlight inFlight = InFlight.NONE;
+  private boolean inService = true;
+
+  private static final class Chunk {
+    double sinceMs;
+    int tokens;
+  }
+
+  /**
+   * Creates an endpoint without load.
+   *
+   * @param name its name
+   * @param zone its availability zone
+   * @param time the clock
+   * @param engine the engine
+   * @param limit the limit, null to send on all requests as they come
+   * @param queue the queue, null without limit
+   * @param onEnd hears of each request that ended
+   */
+  public ModelEndpoint(
+      String name,
+      String zone,
+      VirtualTime time,
+      EngineModel engine,
+      ConcurrencyLimit limit,
+      AdmissionQueue<ModelRequest> queue,
+      Consumer<ModelRequest> onEnd) {
+    this.name = name;
+    this.zone = zone;
+    this.time = time;
+    this.engine = engine;
+    this.limit = limit;
+    this.queue = queue;
+    this.onEnd = onEnd;
+  }
+
+  /** Returns its name. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns its engine. */
+  public EngineModel engine() {
+    return engine;
+  }
+
+  /** Returns its measurements. */
+  public EndpointStats stats() {
+    return stats;
+  }
+
+  /** Returns the requests that run on it. */
+  public List<ModelRequest> running() {
+    return List.copyOf(running.keySet());
+  }
+
+  /** Returns how many requests of both classes may run. */
+  public int limit() {
+    return limit == null ? Integer.MAX_VALUE : limit.limit();
+  }
+
+  /** Returns how many requests run. */
+  public InFlight inFlight() {
+    return inFlight;
+  }
+
+  /** Returns how many requests are queued. */
+  public int queued() {
+    return queue == null ? 0 : queue.size();
+  }
+
+  /**
+   * Takes it out of service, or back.
+   *
+   * @param value whether it gets new requests
+   */
+  public void inService(boolean value) {
+    this.inService = value;
+  }
+
+  /**
+   * Queues a request, or sends it where there is no queue.
+   *
+   * @param request the request
+   * @param expectedTokens the tokens that it is expected to take
+   * @param rank its order in its flow
+   */
+  public void offer(ModelRequest request, long expectedTokens, int rank) {
+    if (queue == null) {
+      send(request);
+      return;
+    }
+    boolean taken =
+        queue.offer(
+            request,
+            request.requestClass(),
+            request.flow(),
+            expectedTokens,
+            (long) Math.min(Long.MAX_VALUE, request.deadlineMs()),
+            time.nowWholeMs(),
+            rank);
+    if (taken) {
+      pump();
+    } else {
+      end(request, ModelRequest.State.REFUSED);
+    }
+  }
+
+  /** Sends what may start and ends what has expired. */
+  public void pump() {
+    if (queue == null) {
+      return;
+    }
+    boolean more = true;
+    while (more) {
+      switch (queue.poll(time.nowWholeMs(), inFlight, limit.limit())) {
+        case Polled.Admitted<ModelRequest> admitted -> send(admitted.item());
+        case Polled.Expired<ModelRequest> expired ->
+            end(expired.item(), ModelRequest.State.EXPIRED);
+        case Polled.Nothing<ModelRequest> nothing -> more = false;
+      }
+    }
+  }
+
+  /**
+   * Cancels a request that runs here, so that it can go on elsewhere.
+   *
+   * @param request the request
+   */
+  public void cancel(ModelRequest request) {
+    if (running.remove(request) == null) {
+      return;
+    }
+    engine.cancel(request);
+    inFlight = inFlight.minus(request.requestClass());
+    stats.onCancelled();
+    if (limit != null) {
+      limit.onCancelled();
+    }
+    pump();
+  }
+
+  /** Returns its view now. */
+  public EndpointView view() {
+    return stats
+        .view(name, zone, time.nowWholeMs())
+        .reportedLoad(engine.reportedLoad())
+        .limit(limit())
+        .queuedTokens(queue == null ? 0 : queue.queuedTokens())
+        .inService(inService)
+        .build();
+  }
+
+  @Override
+  public void onToken(ModelRequest request, boolean first) {
+    Chunk chunk = running.get(request);
+    if (first) {
+      stats.onFirstToken(time.nowWholeMs(), time.nowMs() - request.sentAtMs());
+      chunk.sinceMs = time.nowMs();
+      return;
+    }
+    chunk.tokens++;
+    if (chunk.tokens == TOKENS_PER_CHUNK) {
+      double elapsedMs = time.nowMs() - chunk.sinceMs;
+      stats.onTokens(time.nowWholeMs(), elapsedMs, chunk.tokens);
+      if (limit != null) {
+        limit.onProgress((long) (elapsedMs * NS_PER_MS), chunk.tokens);
+      }
+      chunk.sinceMs = time.nowMs();
+      chunk.tokens = 0;
+    }
+  }
+
+  @Override
+  public void onEnd(ModelRequest request) {
+    Chunk chunk = running.remove(request);
+    inFlight = inFlight.minus(request.requestClass());
+    stats.onSuccess();
+    if (limit != null) {
+      limit.onSuccess((long) ((time.nowMs() - chunk.sinceMs) * NS_PER_MS), chunk.tokens);
+    }
+    end(request, ModelRequest.State.DONE);
+    pump();
+  }
+
+  /**
+   * Returns whether one more request of a class could start now.
+   *
+   * @param requestClass the class
+   */
+  public boolean hasRoom(RequestClass requestClass) {
+    return inService
+        && queued() == 0
+        && inFlight.total() < limit()
+        && (queue == null
+            || requestClass == RequestClass.INTERACTIVE
+            || inFlight.rollout() < limit() - queue.reservedSlots(limit()));
+  }
+
+  private void send(ModelRequest request) {
+    inFlight = inFlight.plus(request.requestClass());
+    running.put(request, new Chunk());
+    stats.onStart(time.nowWholeMs());
+    if (limit != null) {
+      limit.onStart();
+    }
+    engine.submit(request, this);
+  }
+
+  private void end(ModelRequest request, ModelRequest.State state) {
+    request.onEnd(state, time.nowMs());
+    onEnd.accept(request);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelPool.java
@@ -0,0 +1,233 @@
+package org.sycamoretrack.bench.connection;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.sycamoretrack.bench.request.ModelRequest;
+import org.sycamoretrack.core.connection.EndpointView;
+import org.sycamoretrack.core.connection.RequestTraits;
+import org.sycamoretrack.core.request.AdmissionQueue;
+import org.sycamoretrack.core.request.ConcurrencyLimit;
+import org.sycamoretrack.core.request.RequestClass;
+
+/**
+ * A pool of modelled engines with the policies in front of them.
+ *
+ * <p>Views of the endpoints are made anew at an interval, as those of other nodes are; between two
+ * of them, requests are placed on old ones.
+ */
+public final class ModelPool {
+  private static final String[] ZONES = {"svea-a", "svea-b", "svea-c"};
+  private static final double UPDATE_INTERVAL_MS = 50;
+  private static final double PUMP_INTERVAL_MS = 50;
+
+  private final VirtualTime time;
+  private final List<ModelEndpoint> endpoints = new ArrayList<>();
+  private final Placement placement;
+  private final Consumer<ModelRequest> onEnd;
+  private final Builder settings;
+  private List<EndpointView> views = List.of();
+
+  private ModelPool(Builder settings, VirtualTime time, Consumer<ModelRequest> onEnd) {
+    this.settings = settings;
+    this.time = time;
+    this.placement = settings.placement;
+    this.onEnd = onEnd;
+    for (int i = 0; i < settings.engines; i++) {
+      endpoints.add(endpoint(i));
+    }
+    refreshViews();
+    time.every(UPDATE_INTERVAL_MS, this::updateStats);
+    time.every(settings.viewIntervalMs, this::refreshViews);
+  }
+
+  /**
+   * Returns a builder of a pool of 8 engines under a placement.
+   *
+   * @param placement how endpoints are chosen
+   */
+  public static Builder builder(Placement placement) {
+    return new Builder(placement);
+  }
+
+  /** Returns the endpoints. */
+  public List<ModelEndpoint> endpoints() {
+    return List.copyOf(endpoints);
+  }
+
+  /**
+   * Places a request.
+   *
+   * @param request the request
+   * @param expectedTokens the tokens that it is expected to take
+   */
+  public void submit(ModelRequest request, long expectedTokens) {
+    submit(request, expectedTokens, Set.of(), 0);
+  }
+
+  /**
+   * Places a request.
+   *
+   * @param request the request
+   * @param expectedTokens the tokens that it is expected to take
+   * @param excluded endpoints that must not be chosen
+   * @param rank its order in its flow
+   */
+  public void submit(ModelRequest request, long expectedTokens, Set<String> excluded, int rank) {
+    String zone = ZONES[request.id() % ZONES.length];
+    RequestTraits traits =
+        new RequestTraits(
+            request.requestClass(), zone, request.prefixHash(), 0, expectedTokens, excluded);
+    Optional<String> chosen = placement.choose(views, traits, time.nowWholeMs());
+    if (chosen.isEmpty()) {
+      request.onEnd(ModelRequest.State.REFUSED, time.nowMs());
+      onEnd.accept(request);
+      return;
+    }
+    endpoint(chosen.get()).offer(request, expectedTokens, rank);
+  }
+
+  /**
+   * Returns an endpoint.
+   *
+   * @param name its name
+   */
+  public ModelEndpoint endpoint(String name) {
+    return endpoints.stream().filter(e -> e.name().equals(name)).findFirst().orElseThrow();
+  }
+
+  /**
+   * Moves a request that runs: it is cancelled and continues elsewhere.
+   *
+   * @param request the request
+   * @param from where it runs
+   * @param to where it continues
+   * @param expectedTokens the tokens that it is still expected to take
+   */
+  public void move(ModelRequest request, String from, String to, long expectedTokens) {
+    endpoint(from).cancel(request);
+    request.onMoved();
+    endpoint(to).offer(request, expectedTokens, -1);
+  }
+
+  /** Returns the median over the endpoints of the time for a token. */
+  public double medianTimePerTokenMs() {
+    long nowMs = time.nowWholeMs();
+    double[] sorted =
+        endpoints.stream().mapToDouble(e -> e.stats().timePerTokenMs(nowMs)).sorted().toArray();
+    return sorted[sorted.length / 2];
+  }
+
+  private ModelEndpoint endpoint(int index) {
+    EngineModel engine = new EngineModel(time, settings.profile, settings.slowMoments.apply(index));
+    ConcurrencyLimit limit = settings.limit == null ? null : settings.limit.apply(index);
+    AdmissionQueue<ModelRequest> queue = limit == null ? null : settings.queue.build();
+    ModelEndpoint endpoint =
+        new ModelEndpoint(
+            "sampler-" + index, ZONES[index % ZONES.length], time, engine, limit, queue, onEnd);
+    time.every(PUMP_INTERVAL_MS, endpoint::pump);
+    return endpoint;
+  }
+
+  private void refreshViews() {
+    views = endpoints.stream().map(ModelEndpoint::view).toList();
+  }
+
+  private void updateStats() {
+    double medianMs = medianTimePerTokenMs();
+    endpoints.forEach(endpoint -> endpoint.stats().update(time.nowWholeMs(), medianMs));
+  }
+
+  /** Returns whether rollout work could start at once on some endpoint. */
+  public boolean hasRoomForRollout() {
+    return endpoints.stream().anyMatch(e -> e.hasRoom(RequestClass.ROLLOUT));
+  }
+
+  /** Builds a {@link ModelPool}. */
+  public static final class Builder {
+    private final Placement placement;
+    private int engines = 8;
+    private EngineProfile profile = EngineProfile.DEFAULT;
+    private Function<Integer, SlowMoments> slowMoments = index -> SlowMoments.none();
+    private Function<Integer, ConcurrencyLimit> limit;
+    private AdmissionQueue.Builder queue = AdmissionQueue.builder();
+    private double viewIntervalMs = 200;
+
+    private Builder(Placement placement) {
+      this.placement = placement;
+    }
+
+    /**
+     * Sets how many engines there are.
+     *
+     * @param count at least 1
+     */
+    public Builder engines(int count) {
+      this.engines = count;
+      return this;
+    }
+
+    /**
+     * Sets how fast the engines are.
+     *
+     * @param value the profile of each
+     */
+    public Builder profile(EngineProfile value) {
+      this.profile = value;
+      return this;
+    }
+
+    /**
+     * Sets when the engines are slow.
+     *
+     * @param byIndex gives the moments of an engine by its index
+     */
+    public Builder slowMoments(Function<Integer, SlowMoments> byIndex) {
+      this.slowMoments = byIndex;
+      return this;
+    }
+
+    /**
+     * Puts a queue and a limit before each engine; without, requests are sent on as they come.
+     *
+     * @param byIndex gives the limit of an engine by its index
+     */
+    public Builder limit(Function<Integer, ConcurrencyLimit> byIndex) {
+      this.limit = byIndex;
+      return this;
+    }
+
+    /**
+     * Sets the settings of the queues.
+     *
+     * @param value builds each queue
+     */
+    public Builder queue(AdmissionQueue.Builder value) {
+      this.queue = value;
+      return this;
+    }
+
+    /**
+     * Sets how often views are made anew.
+     *
+     * @param intervalMs the interval
+     */
+    public Builder viewIntervalMs(double intervalMs) {
+      this.viewIntervalMs = intervalMs;
+      return this;
+    }
+
+    /**
+     * Builds the pool.
+     *
+     * @param time the clock
+     * @param onEnd hears of each request that ended
+     */
+    public ModelPool build(VirtualTime time, Consumer<ModelRequest> onEnd) {
+      return new ModelPool(this, time, onEnd);
+    }
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/SlowMoments.java
@@ -0,0 +1,48 @@
+package org.sycamoretrack.bench.connection;
+
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/** When an engine is slowed by unseen neighbours, and how much. */
+public final class SlowMoments {
+  private final TreeMap<Double, Double> factorFromMs = new TreeMap<>();
+
+  private SlowMoments() {}
+
+  /** Returns a schedule without slow moments. */
+  public static SlowMoments none() {
+    return new SlowMoments();
+  }
+
+  /**
+   * Returns a schedule of slow moments of random length with random gaps between them.
+   *
+   * @param random the source of chance
+   * @param factor how many times slower a step is in a moment
+   * @param meanGapMs the mean time between moments
+   * @param meanLengthMs the mean length of a moment
+   * @param endMs the end of the schedule
+   */
+  public static SlowMoments random(
+      RandomGenerator random, double factor, double meanGapMs, double meanLengthMs, double endMs) {
+    SlowMoments moments = new SlowMoments();
+    double atMs = random.nextExponential() * meanGapMs;
+    while (atMs < endMs) {
+      double lengthMs = meanLengthMs * random.nextDouble(0.5, 1.5);
+      moments.factorFromMs.put(atMs, factor);
+      moments.factorFromMs.put(atMs + lengthMs, 1.0);
+      atMs += lengthMs + random.nextExponential() * meanGapMs;
+    }
+    return moments;
+  }
+
+  /**
+   * Returns how many times slower a step is.
+   *
+   * @param nowMs when the step begins
+   */
+  public double factorAt(double nowMs) {
+    var entry = factorFromMs.floorEntry(nowMs);
+    return entry == null ? 1.0 : entry.getValue();
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Models of engines and endpoints in virtual time. */
+package org.sycamoretrack.bench.connection;
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -0,0 +1,64 @@
+package org.sycamoretrack.bench.process;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.List;
+import org.sycamoretrack.bench.request.AdmissionMeasure;
+import org.sycamoretrack.bench.request.StragglerMeasure;
+
+/** Runs measures by name; {@code all} runs each of them. */
+public final class Bench {
+  private static final List<Measure> MEASURES =
+      List.of(new AdmissionMeasure(), new StragglerMeasure());
+  private static final int EXIT_USAGE = 2;
+
+  @Parameter(description = "NAME... (admission, stragglers or all)")
+  private List<String> names = new ArrayList<>();
+
+  @Parameter(names = "--seed", description = "seed of all chance")
+  private long seed = 1;
+
+  @Parameter(
+      names = {"-h", "--help"},
+      help = true,
+      description = "print this help")
+  private boolean help;
+
+  private Bench() {}
+
+  /**
+   * Runs the named measures and prints their reports; exits 0 when they ran to their end, whether
+   * or not their bounds were met, and 2 for wrong arguments.
+   *
+   * @param args names and options
+   */
+  public static void main(String[] args) {
+    Bench bench = new Bench();
+    JCommander commander = JCommander.newBuilder().addObject(bench).programName("./bench").build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      System.err.println("error invalid-arguments: " + e.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+    if (bench.help || bench.names.isEmpty()) {
+      commander.usage();
+      return;
+    }
+    bench.run();
+  }
+
+  private void run() {
+    List<Measure> chosen =
+        MEASURES.stream()
+            .filter(measure -> names.contains("all") || names.contains(measure.name()))
+            .toList();
+    if (chosen.isEmpty()) {
+      System.err.println("error unknown-measure: see ./bench --help");
+      System.exit(EXIT_USAGE);
+    }
+    chosen.forEach(measure -> measure.run(seed).print(System.out));
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Report.java
@@ -0,0 +1,74 @@
+package org.sycamoretrack.bench.process;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects the table and the bounds of a measure and prints them. */
+public final class Report {
+  private static final String GAP = "  ";
+
+  private final List<String[]> rows = new ArrayList<>();
+  private final List<Bound> bounds = new ArrayList<>();
+  private final String title;
+
+  /**
+   * Creates an empty report.
+   *
+   * @param title the line above the table
+   * @param columns the heads of the columns
+   */
+  public Report(String title, String... columns) {
+    this.title = title;
+    rows.add(columns);
+  }
+
+  /**
+   * Adds a row.
+   *
+   * @param cells its cells
+   */
+  public void row(String... cells) {
+    rows.add(cells);
+  }
+
+  /**
+   * Adds a bound.
+   *
+   * @param bound the bound
+   */
+  public void bound(Bound bound) {
+    bounds.add(bound);
+  }
+
+  /** Returns the bounds in the order of their addition. */
+  public List<Bound> bounds() {
+    return List.copyOf(bounds);
+  }
+
+  /**
+   * Prints the table and then a JSON line for each bound.
+   *
+   * @param out where to
+   */
+  public void print(PrintStream out) {
+    out.println(title);
+    int columns = rows.getFirst().length;
+    int[] widths = new int[columns];
+    for (String[] row : rows) {
+      for (int i = 0; i < columns; i++) {
+        widths[i] = Math.max(widths[i], row[i].length());
+      }
+    }
+    for (String[] row : rows) {
+      StringBuilder line = new StringBuilder();
+      for (int i = 0; i < columns; i++) {
+        String padding = " ".repeat(widths[i] - row[i].length());
+        line.append(i == 0 ? row[i] + padding : GAP + padding + row[i]);
+      }
+      out.println(line.toString().stripTrailing());
+    }
+    bounds.forEach(bound -> out.println(bound.toJson()));
+    out.println();
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/AdmissionMeasure.java
@@ -0,0 +1,149 @@
+package org.sycamoretrack.bench.request;
+
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import org.sycamoretrack.bench.connection.ModelPool;
+import org.sycamoretrack.bench.connection.Placement;
+import org.sycamoretrack.bench.connection.VirtualTime;
+import org.sycamoretrack.bench.process.Bound;
+import org.sycamoretrack.bench.process.Measure;
+import org.sycamoretrack.bench.process.Report;
+import org.sycamoretrack.core.connection.EndpointSelector;
+import org.sycamoretrack.core.request.ConcurrencyLimit;
+import org.sycamoretrack.core.request.Flow;
+import org.sycamoretrack.core.request.LimitSettings;
+import org.sycamoretrack.core.request.RequestClass;
+
+/**
+ * Short calls beside saturating long work: their p99 against their p99 alone, with the queues and
+ * limits of the policy, and first come, first served without limits.
+ */
+public final class AdmissionMeasure implements Measure {
+  private static final double BOUND_RATIO = 1.5;
+  private static final double SHORT_CALLS_PER_S = 8;
+  private static final int OUTSTANDING_SAMPLES = 2_400;
+  private static final int TRACKS = 5;
+  private static final double WARM_UP_MS = 60_000;
+  private static final double END_MS = 300_000;
+  private static final LimitSettings LIMITS = new LimitSettings(16, 4, 256, 1.4);
+
+  @Override
+  public String name() {
+    return "admission";
+  }
+
+  @Override
+  public Report run(long seed) {
+    Result alone = run(seed, index -> ConcurrencyLimit.aimd(LIMITS), false);
+    Result baseline = run(seed, null, true);
+    Report report =
+        new Report(
+            "Short calls beside saturating long work, 8 engines, seed " + seed,
+            "run",
+            "calls",
+            "p50 ms",
+            "p99 ms",
+            "p99 / alone",
+            "long tokens/s");
+    row(report, "short calls alone", alone, alone);
+    row(report, "first come, first served, no limit", baseline, alone);
+    for (String variant : new String[] {"aimd", "gradient"}) {
+      Result policy = run(seed, limits(variant), true);
+      row(report, "queue and " + variant + " limit", policy, alone);
+      report.bound(
+          Bound.atMost(
+              "admission.short-p99-ratio",
+              variant,
+              policy.ratio(alone),
+              baseline.ratio(alone),
+              BOUND_RATIO,
+              seed));
+    }
+    return report;
+  }
+
+  private static Function<Integer, ConcurrencyLimit> limits(String variant) {
+    return variant.equals("aimd")
+        ? index -> ConcurrencyLimit.aimd(LIMITS)
+        : index -> ConcurrencyLimit.gradient(LIMITS);
+  }
+
+  private static void row(Report report, String name, Result result, Result alone) {
+    report.row(
+        name,
+        "" + result.shortCalls.count(),
+        result.shortCalls.cell(50),
+        result.shortCalls.cell(99),
+        String.format(Locale.ROOT, "%.2f", result.ratio(alone)),
+        String.format(Locale.ROOT, "%.0f", result.longTokens / ((END_MS - WARM_UP_MS) / 1_000)));
+  }
+
+  private static Result run(
+      long seed, Function<Integer, ConcurrencyLimit> limit, boolean withLongWork) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Result result = new Result(seed);
+    Placement placement =
+        limit == null
+            ? new Placement.FewestInFlight()
+            : new Placement.BySelector(new EndpointSelector(random.split()));
+    ModelPool.Builder builder = ModelPool.builder(placement);
+    if (limit != null) {
+      builder.limit(limit);
+    }
+    result.pool = builder.build(result.time, result::onEnd);
+    SplittableRandom arrivals = new SplittableRandom(seed + 1);
+    Workload.shortCalls(
+        result.time,
+        arrivals,
+        SHORT_CALLS_PER_S,
+        call -> result.pool.submit(call, Workload.MEAN_SHORT_TOKENS));
+    if (withLongWork) {
+      result.time.after(0, result::startLongWork);
+    }
+    result.time.runUntil(END_MS);
+    return result;
+  }
+
+  /** One run and what was counted in it. */
+  private static final class Result {
+    final VirtualTime time = new VirtualTime();
+    final Latencies shortCalls = new Latencies();
+    final long seed;
+    ModelPool pool;
+    int nextSlot;
+    long longTokens;
+
+    Result(long seed) {
+      this.seed = seed;
+    }
+
+    void startLongWork() {
+      for (int i = 0; i < OUTSTANDING_SAMPLES; i++) {
+        submitSample();
+      }
+    }
+
+    void submitSample() {
+      int slot = nextSlot++;
+      Flow track = Flow.of("track-" + slot % TRACKS);
+      pool.submit(Workload.sample(seed, slot, track, time.nowMs()), Workload.MEAN_SAMPLE_TOKENS);
+    }
+
+    void onEnd(ModelRequest request) {
+      boolean counted = request.arrivedAtMs() >= WARM_UP_MS;
+      if (request.requestClass() == RequestClass.INTERACTIVE) {
+        if (counted) {
+          shortCalls.add(request.durationMs());
+        }
+      } else {
+        longTokens += time.nowMs() >= WARM_UP_MS ? request.tokensMade() : 0;
+        time.after(0, this::submitSample);
+      }
+    }
+
+    double ratio(Result alone) {
+      return shortCalls.percentileMs(99) / alone.shortCalls.percentileMs(99);
+    }
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/Latencies.java
@@ -0,0 +1,45 @@
+package org.sycamoretrack.bench.request;
+
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/** Durations of requests and their percentiles. */
+public final class Latencies {
+  private static final int DIGITS = 3;
+  private static final double US_PER_MS = 1_000;
+
+  private final Histogram histogramUs = new Histogram(DIGITS);
+
+  /**
+   * Adds a duration.
+   *
+   * @param durationMs the duration
+   */
+  public void add(double durationMs) {
+    histogramUs.recordValue((long) (durationMs * US_PER_MS));
+  }
+
+  /** Returns how many durations were added. */
+  public long count() {
+    return histogramUs.getTotalCount();
+  }
+
+  /**
+   * Returns a percentile.
+   *
+   * @param percentile from 0 to 100
+   * @return milliseconds
+   */
+  public double percentileMs(double percentile) {
+    return histogramUs.getValueAtPercentile(percentile) / US_PER_MS;
+  }
+
+  /**
+   * Returns a percentile as a cell of a table.
+   *
+   * @param percentile from 0 to 100
+   */
+  public String cell(double percentile) {
+    return String.format(Locale.ROOT, "%.0f", percentileMs(percentile));
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/Workload.java
@@ -0,0 +1,91 @@
+package org.sycamoretrack.bench.request;
+
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.sycamoretrack.bench.connection.VirtualTime;
+import org.sycamoretrack.core.request.Flow;
+import org.sycamoretrack.core.request.RequestClass;
+
+/**
+ * Draws requests: short calls that arrive at random, and long samples.
+ *
+ * <p>The length of a sample is log-normal, cut off at the most tokens of the step; it depends on
+ * the seed of the step and the slot alone.
+ */
+public final class Workload {
+  /** The most tokens of a sample. */
+  public static final int MAX_SAMPLE_TOKENS = 4_096;
+
+  /** The mean length of a sample, as the policies expect it. */
+  public static final int MEAN_SAMPLE_TOKENS = 550;
+
+  /** The mean length of a short call, as the policies expect it. */
+  public static final int MEAN_SHORT_TOKENS = 32;
+
+  private static final double SAMPLE_LOG_MEAN = Math.log(400);
+  private static final double SAMPLE_LOG_DEVIATION = 0.8;
+  private static final int PROMPT_TOKENS = 200;
+  private static final int SHORT_MIN_TOKENS = 16;
+  private static final int SHORT_MAX_TOKENS = 48;
+  private static final int SAMPLES_PER_GROUP = 16;
+  private static final double MS_PER_S = 1_000;
+
+  private Workload() {}
+
+  /**
+   * Returns the length of a sample.
+   *
+   * @param stepSeed the seed of its step
+   * @param slot its slot
+   * @return tokens, from 1 to {@link #MAX_SAMPLE_TOKENS}
+   */
+  public static int sampleTokens(long stepSeed, int slot) {
+    SplittableRandom random = new SplittableRandom(stepSeed * 1_000_003 + slot);
+    double length = Math.exp(SAMPLE_LOG_MEAN + SAMPLE_LOG_DEVIATION * random.nextGaussian());
+    return (int) Math.max(1, Math.min(MAX_SAMPLE_TOKENS, length));
+  }
+
+  /**
+   * Returns a sample.
+   *
+   * @param stepSeed the seed of its step
+   * @param slot its slot
+   * @param track its track
+   * @param nowMs the time now
+   */
+  public static ModelRequest sample(long stepSeed, int slot, Flow track, double nowMs) {
+    long prefixHash = stepSeed * 8_191 + slot / SAMPLES_PER_GROUP + 1;
+    int tokens = sampleTokens(stepSeed, slot);
+    return new ModelRequest(
+        slot, RequestClass.ROLLOUT, track, PROMPT_TOKENS, prefixHash, tokens, nowMs);
+  }
+
+  /**
+   * Lets short calls arrive at random for as long as the run lasts.
+   *
+   * @param time the clock
+   * @param random the source of chance
+   * @param perSecond how many arrive in a second on average
+   * @param arrive takes each call
+   */
+  public static void shortCalls(
+      VirtualTime time, RandomGenerator random, double perSecond, Consumer<ModelRequest> arrive) {
+    time.after(
+        random.nextExponential() * MS_PER_S / perSecond,
+        () -> {
+          int tokens = random.nextInt(SHORT_MIN_TOKENS, SHORT_MAX_TOKENS + 1);
+          Flow customer = Flow.of("customer-" + random.nextInt(5));
+          arrive.accept(
+              new ModelRequest(
+                  random.nextInt(1 << 20),
+                  RequestClass.INTERACTIVE,
+                  customer,
+                  PROMPT_TOKENS,
+                  0,
+                  tokens,
+                  time.nowMs()));
+          shortCalls(time, random, perSecond, arrive);
+        });
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests of the models and the measures of queueing, choice, stragglers and retries. */
+package org.sycamoretrack.bench.request;
