Add the node lease, its watch and its service

A late renewal can land after an observer saw the row unchanged for long enough, so an observer must not act on time alone: it first writes the row on condition of the watched version (LeaseService.endExpired), after which no older renewal takes effect. Taking over by observation alone was ruled out for that reason.

Results of table calls reach the control thread through an inbox of their own, since a result refused by the bounded queue would leave the lease waiting.

--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/process/LeaseWatch.java
@@ -0,0 +1,56 @@
+package org.sycamoretrack.core.process;
+
+/**
+ * Tells from outside when another process's lease has run out.
+ *
+ * <p>No clocks are compared: the lease has run out when its row had one version for the whole
+ * duration by this process's monotonic clock, counted from when a read that showed the version was
+ * answered until a later read that showed it too was sent.
+ *
+ * <p>A renewal that was sent before may still be on its way. Whoever acts on the lease's end
+ * therefore first writes the row, on condition of the version that was watched: once that write has
+ * taken effect, no older renewal can.
+ *
+ * <p>Example with a duration of 18 s: version 7 is seen at 0 s and 10 s, version 8 at 15 s and in a
+ * read that was sent at 33 s and answered at 34 s. The lease has run out.
+ */
+public final class LeaseWatch {
+  private final long durationMs;
+  private long version = -1;
+  private long sinceMs;
+  private long lastSentMs;
+
+  /**
+   * Creates a watch that has seen nothing.
+   *
+   * @param durationMs for how long the row must stay unchanged
+   */
+  public LeaseWatch(long durationMs) {
+    this.durationMs = durationMs;
+  }
+
+  /**
+   * Takes the version that the row was read with.
+   *
+   * @param seenVersion the version, 0 when there is no row
+   * @param sentMs the monotonic time in milliseconds when the read was sent
+   * @param answeredMs the monotonic time in milliseconds when it was answered
+   */
+  public void onSeen(long seenVersion, long sentMs, long answeredMs) {
+    if (seenVersion != version) {
+      version = seenVersion;
+      sinceMs = answeredMs;
+    }
+    lastSentMs = sentMs;
+  }
+
+  /** Returns whether the row has stayed unchanged for the duration. */
+  public boolean isExpired() {
+    return version >= 0 && lastSentMs - sinceMs >= durationMs;
+  }
+
+  /** Returns the version that was seen last, -1 when none was. */
+  public long version() {
+    return version;
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/JsonFields.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/platform/JsonFields.java
@@ -3,10 +3,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Reads fields that must be there and have a type; what doesn't fit is refused. */
-final class JsonFields {
+public final class JsonFields {
   private JsonFields() {}
 
-  static long requireLong(JsonNode node, String name) {
+  /**
+   * Reads an integer.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static long requireLong(JsonNode node, String name) {
     JsonNode field = node.path(name);
     if (!field.isIntegralNumber() || !field.canConvertToLong()) {
       throw new IllegalArgumentException("field " + name + " is not an integer");
@@ -14,11 +21,29 @@
     return field.longValue();
   }
 
-  static int requireInt(JsonNode node, String name) {
-    return Math.toIntExact(requireLong(node, name));
+  /**
+   * Reads an integer of 32 bits.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static int requireInt(JsonNode node, String name) {
+    long value = requireLong(node, name);
+    if (value != (int) value) {
+      throw new IllegalArgumentException("field " + name + " is out of range");
+    }
+    return (int) value;
   }
 
-  static double requireDouble(JsonNode node, String name) {
+  /**
+   * Reads a number.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static double requireDouble(JsonNode node, String name) {
     JsonNode field = node.path(name);
     if (!field.isNumber()) {
       throw new IllegalArgumentException("field " + name + " is not a number");
@@ -26,7 +51,14 @@
     return field.doubleValue();
   }
 
-  static boolean requireBoolean(JsonNode node, String name) {
+  /**
+   * Reads a boolean.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static boolean requireBoolean(JsonNode node, String name) {
     JsonNode field = node.path(name);
     if (!field.isBoolean()) {
       throw new IllegalArgumentException("field " + name + " is not a boolean");
@@ -34,7 +66,14 @@
     return field.booleanValue();
   }
 
-  static String requireText(JsonNode node, String name) {
+  /**
+   * Reads a string.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static String requireText(JsonNode node, String name) {
     JsonNode field = node.path(name);
     if (!field.isTextual()) {
       throw new IllegalArgumentException("field " + name + " is not a string");
@@ -42,7 +81,14 @@
     return field.textValue();
   }
 
-  static JsonNode requireArray(JsonNode node, String name) {
+  /**
+   * Reads a list.
+   *
+   * @param node the object
+   * @param name the field
+   * @throws IllegalArgumentException when the field is missing or of another type
+   */
+  public static JsonNode requireArray(JsonNode node, String name) {
     JsonNode field = node.path(name);
     if (!field.isArray()) {
       throw new IllegalArgumentException("field " + name + " is not a list");
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/LeaseService.java
@@ -0,0 +1,291 @@
+package org.sycamoretrack.daemon.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.Lease;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.LeaseWatch;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.platform.Failures;
+import org.sycamoretrack.daemon.platform.JsonFields;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.platform.Transaction;
+import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * Keeps this node's lease in the table service, and ends those of nodes that are gone.
+ *
+ * <p>The decisions are those of {@link Lease}; this class carries out its commands. {@link #poll}
+ * and all results run on the control thread. {@link #holds} and {@link #epoch} may be called from
+ * any thread, and {@code holds} looks at the clock each time: call it just before each act that the
+ * lease guards, never once for several.
+ *
+ * <p>One row a node in the table {@code leases}, its key the node's id:
+ *
+ * <pre>{@code
+ * {"nodeId": "svea-a-1", "epoch": 3, "incarnation": "…", "sequence": 17,
+ *  "address": "127.0.0.1:7101", "zone": "svea-a", "released": false}
+ * }</pre>
+ */
+public final class LeaseService {
+  /** The table of the leases. */
+  public static final String TABLE = "leases";
+
+  private static final System.Logger LOGGER = System.getLogger(LeaseService.class.getName());
+
+  /**
+   * Who takes the lease.
+   *
+   * @param nodeId the node
+   * @param incarnation names this process and no other
+   * @param address where it accepts connections of peers
+   * @param zone its availability zone
+   */
+  public record Holder(String nodeId, String incarnation, String address, String zone) {
+    /** Checks that no part is missing. */
+    public Holder {
+      Objects.requireNonNull(nodeId, "nodeId");
+      Objects.requireNonNull(incarnation, "incarnation");
+      Objects.requireNonNull(address, "address");
+      Objects.requireNonNull(zone, "zone");
+    }
+  }
+
+  /** What other threads see of the lease. */
+  private record Grant(long epoch, long usableUntilMs) {}
+
+  private static final Grant NO_GRANT = new Grant(0, Long.MIN_VALUE);
+
+  private final TableStore table;
+  private final Holder holder;
+  private final LeaseTimes times;
+  private final NanoClock clock;
+  private final ControlInbox inbox;
+  private final Lease lease;
+  private final Map<String, LeaseWatch> watches = new HashMap<>();
+  private final CompletableFuture<Void> released = new CompletableFuture<>();
+  private volatile Grant grant = NO_GRANT;
+
+  /**
+   * Creates a service that holds nothing until {@link #poll} is called.
+   *
+   * @param table the table service
+   * @param holder who takes the lease
+   * @param times the lease's durations
+   * @param clock the monotonic clock
+   * @param control hands commands to the control thread
+   */
+  public LeaseService(
+      TableStore table,
+      Holder holder,
+      LeaseTimes times,
+      NanoClock clock,
+      ControlInbox.ControlExecutor control) {
+    this.table = table;
+    this.holder = holder;
+    this.times = times;
+    this.clock = clock;
+    this.inbox = new ControlInbox(control);
+    this.lease = new Lease(times, holder.incarnation());
+  }
+
+  /** Returns whether the lease is held at this moment. May be called from any thread. */
+  public boolean holds() {
+    return nowMs() < grant.usableUntilMs();
+  }
+
+  /**
+   * Returns the epoch of the lease, 0 when it isn't held at this moment. May be called from any
+   * thread.
+   */
+  public long epoch() {
+    Grant seen = grant;
+    return nowMs() < seen.usableUntilMs() ? seen.epoch() : 0;
+  }
+
+  /** Does what is due. Called on the control thread several times a second. */
+  public void poll() {
+    inbox.drain();
+    long nowMs = nowMs();
+    switch (lease.next(nowMs)) {
+      case Lease.Command.Wait wait -> publish();
+      case Lease.Command.Read read -> read();
+      case Lease.Command.Write write -> write(write.row());
+    }
+  }
+
+  private void read() {
+    inbox.onResult(
+        table.read(TABLE, holder.nodeId()).thenApply(LeaseService::toRow),
+        (row, failure) -> {
+          if (failure == null) {
+            lease.onRead(row, nowMs());
+          } else {
+            lease.onReadFailed(nowMs());
+          }
+          publish();
+        });
+  }
+
+  private void write(Lease.Row row) {
+    Transaction transaction =
+        Transaction.builder("lease/" + holder.nodeId() + "/" + row.epoch() + "/" + row.sequence())
+            .put(TABLE, holder.nodeId(), row.version(), toJson(row))
+            .build();
+    inbox.onResult(table.transact(transaction), this::onWriteResult);
+  }
+
+  private void onWriteResult(TransactionResult result, Throwable failure) {
+    switch (result) {
+      case TransactionResult.Committed committed ->
+          lease.onWritten(committed.versions().getFirst());
+      case TransactionResult.Conflict conflict -> lease.onUnsettled(nowMs());
+      case null -> onWriteFailed(failure);
+    }
+    publish();
+  }
+
+  private void onWriteFailed(Throwable failure) {
+    if (Failures.outcome(failure) == Outcome.NOT_RUN) {
+      lease.onRefused(nowMs());
+    } else {
+      lease.onUnsettled(nowMs());
+    }
+  }
+
+  private void publish() {
+    Grant before = grant;
+    Grant now = lease.holds(nowMs()) ? new Grant(lease.epoch(), lease.usableUntilMs()) : NO_GRANT;
+    if (!now.equals(before)) {
+      grant = now;
+    }
+    if (now.epoch() != before.epoch()) {
+      LOGGER.log(System.Logger.Level.INFO, now.epoch() == 0 ? "lease-lost" : "lease-taken");
+    }
+    if (lease.isReleased()) {
+      released.complete(null);
+    }
+  }
+
+  /**
+   * Gives the lease back, so that others need not wait for its end. Called on the control thread;
+   * {@link #poll} goes on being called until the stage is done.
+   *
+   * @return done when the table service has it
+   */
+  public CompletionStage<Void> release() {
+    lease.release();
+    publish();
+    return released;
+  }
+
+  /**
+   * Ends the lease of another node if it has run out. Called on the control thread, again and again
+   * until it yields true: the row must be seen unchanged for {@link LeaseTimes#takeOverAfterMs}.
+   *
+   * @param nodeId the node
+   * @return true when the node holds no lease and its process can't renew the one that it had
+   */
+  public CompletionStage<Boolean> endExpired(String nodeId) {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    long sentMs = nowMs();
+    inbox.onResult(
+        table.read(TABLE, nodeId),
+        (row, failure) -> {
+          if (failure != null) {
+            result.completeExceptionally(failure);
+          } else {
+            onOtherRead(nodeId, row, sentMs, result);
+          }
+        });
+    return result;
+  }
+
+  private void onOtherRead(
+      String nodeId,
+      Optional<TableStore.Row> found,
+      long sentMs,
+      CompletableFuture<Boolean> result) {
+    Lease.Row row;
+    try {
+      row = toRow(found);
+    } catch (SycamoreException e) {
+      result.completeExceptionally(e);
+      return;
+    }
+    if (row.released()) {
+      watches.remove(nodeId);
+      result.complete(true);
+      return;
+    }
+    LeaseWatch watch =
+        watches.computeIfAbsent(nodeId, any -> new LeaseWatch(times.takeOverAfterMs()));
+    watch.onSeen(row.version(), sentMs, nowMs());
+    if (!watch.isExpired()) {
+      result.complete(false);
+      return;
+    }
+    end(nodeId, found.orElseThrow(), result);
+  }
+
+  private void end(String nodeId, TableStore.Row row, CompletableFuture<Boolean> result) {
+    JsonNode ended = ((ObjectNode) row.value().deepCopy()).put("released", true);
+    Transaction transaction =
+        Transaction.builder("lease-end/" + nodeId + "/" + row.version())
+            .put(TABLE, nodeId, row.version(), ended)
+            .build();
+    inbox.onResult(
+        table.transact(transaction),
+        (answer, failure) -> {
+          if (failure != null) {
+            result.completeExceptionally(failure);
+          } else {
+            result.complete(answer instanceof TransactionResult.Committed);
+          }
+        });
+  }
+
+  private long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(clock.nanoTime());
+  }
+
+  private JsonNode toJson(Lease.Row row) {
+    return Json.object()
+        .put("nodeId", holder.nodeId())
+        .put("epoch", row.epoch())
+        .put("incarnation", row.incarnation())
+        .put("sequence", row.sequence())
+        .put("address", holder.address())
+        .put("zone", holder.zone())
+        .put("released", row.released());
+  }
+
+  private static Lease.Row toRow(Optional<TableStore.Row> found) {
+    if (found.isEmpty()) {
+      return Lease.Row.NONE;
+    }
+    JsonNode value = found.get().value();
+    try {
+      return new Lease.Row(
+          found.get().version(),
+          JsonFields.requireLong(value, "epoch"),
+          JsonFields.requireText(value, "incarnation"),
+          JsonFields.requireLong(value, "sequence"),
+          JsonFields.requireBoolean(value, "released"));
+    } catch (IllegalArgumentException e) {
+      String message = "lease row " + found.get().key() + ": " + e.getMessage();
+      throw new SycamoreException(ErrorCode.INTERNAL, Outcome.NOT_RUN, message, e);
+    }
+  }
+}
