--- a/core/src/test/java/org/sycamoretrack/core/process/LeaseTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/LeaseTest.java
@@ -22,10 +22,10 @@
   private void run(String script) {
     long sentMs = 0;
     String steps = script.replace("held0", "row:none@0 w:1@5").replace("held", HELD);
-    for (String step : steps.trim().split(" +")) {
-      String[] parts = step.split("@");
+    for (String step : steps.trim().split(" +", -1)) {
+      String[] parts = step.split("@", -1);
       long nowMs = Long.parseLong(parts[1]);
-      String[] result = parts[0].split(":");
+      String[] result = parts[0].split(":", -1);
       if (result[0].equals("at")) {
         sentMs = nowMs;
         continue;
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/platform/ObjectStoreContractTest.java
@@ -0,0 +1,101 @@
+package org.sycamoretrack.daemon.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.standins.process.FaultKind;
+
+/** The contract of {@link ObjectStore}, kept by {@link HttpObjectStore} against the stand-in. */
+class ObjectStoreContractTest {
+  private final FarEndFixture fixture = new FarEndFixture();
+  private final ObjectStore store =
+      new HttpObjectStore(fixture.client, fixture.platform.address(), FarEndFixture.TIMEOUT_MS);
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"plain", "with/slash/es", "with space", "ü+?&#"})
+  void storesUnderKeysOfAnyCharacters(String key) {
+    assertThat(FarEndFixture.get(store.get(key))).isEmpty();
+    FarEndFixture.get(store.put(key, bytes("a")));
+    assertThat(FarEndFixture.get(store.putIfAbsent(key, bytes("b")))).isFalse();
+    assertThat(FarEndFixture.get(store.get(key))).contains(bytes("a"));
+    FarEndFixture.get(store.put(key, bytes("c")));
+    assertThat(FarEndFixture.get(store.get(key))).contains(bytes("c"));
+    assertThat(FarEndFixture.get(store.list(""))).containsExactly(key);
+    FarEndFixture.get(store.delete(key));
+    FarEndFixture.get(store.delete(key));
+    assertThat(FarEndFixture.get(store.get(key))).isEmpty();
+    assertThat(FarEndFixture.get(store.putIfAbsent(key, bytes("d")))).isTrue();
+  }
+
+  @Test
+  void listsByPrefixInOrder() {
+    for (String key : new String[] {"s/2", "t/1", "s/1", "r"}) {
+      FarEndFixture.get(store.put(key, bytes(key)));
+    }
+    assertThat(FarEndFixture.get(store.list("s/"))).containsExactly("s/1", "s/2");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "REFUSED, NOT_RUN, false",
+    "OUTAGE, UNKNOWN, false",
+    "LOST_ANSWER, UNKNOWN, true",
+    "REORDERED, UNKNOWN, true",
+    "CUT_OFF, UNKNOWN, true",
+    "STALLED, UNKNOWN, true",
+    "OVERSIZED, UNKNOWN, true",
+  })
+  void failedWriteSaysWhetherItMayHaveTakenEffect(
+      FaultKind kind, Outcome outcome, boolean tookEffect) {
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/objects"));
+    SycamoreException failure = FarEndFixture.failure(store.put("k", bytes("a")));
+    assertThat(failure.outcome()).isEqualTo(outcome);
+    assertThat(FarEndFixture.get(store.get("k")).isPresent()).isEqualTo(tookEffect);
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FaultKind.class,
+      names = {
+        "SLOW",
+        "REFUSED",
+        "OUTAGE",
+        "LOST_ANSWER",
+        "REORDERED",
+        "CUT_OFF",
+        "OVERSIZED",
+        "STALLED"
+      })
+  void failedReadIsAFailureAndNoMissingObject(FaultKind kind) {
+    FarEndFixture.get(store.put("k", bytes("a longer content")));
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/objects"));
+    assertThat(FarEndFixture.failure(store.get("k")).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/objects"));
+    assertThat(FarEndFixture.failure(store.list("")).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+  }
+
+  @Test
+  void malformedListIsAFailure() {
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.MALFORMED, "/objects"));
+    FarEndFixture.failure(store.list(""));
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/platform/ReadOnlyFarEndsContractTest.java
@@ -0,0 +1,138 @@
+package org.sycamoretrack.daemon.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.standins.process.Host;
+import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** The contracts of {@link HostList} and {@link WeightStore}, kept against the stand-in. */
+class ReadOnlyFarEndsContractTest {
+  private final FarEndFixture fixture = new FarEndFixture();
+  private final HostList hosts = hostsAt(fixture.platform.address());
+  private final WeightStore weights = weightsAt(fixture.platform.address());
+
+  private HostList hostsAt(java.net.InetSocketAddress address) {
+    return new HttpHostList(fixture.client, address, FarEndFixture.TIMEOUT_MS);
+  }
+
+  private WeightStore weightsAt(java.net.InetSocketAddress address) {
+    return new HttpWeightStore(fixture.client, address, FarEndFixture.TIMEOUT_MS);
+  }
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  @Test
+  void readsHostsOfBothRolesAndStates() {
+    fixture.platform.hosts().setLagMs(0);
+    fixture
+        .platform
+        .hosts()
+        .put(new Host("e1", "endpoint", "127.0.0.1", 80, "svea-a", "modellhall", "leaving"));
+    fixture.platform.hosts().put(new Host("n1", "entry", "127.0.0.1", 81, "svea-b", null, "live"));
+    assertThat(FarEndFixture.get(hosts.hosts()).hosts())
+        .containsExactlyInAnyOrder(
+            new HostList.Host(
+                "e1",
+                HostList.Role.ENDPOINT,
+                "127.0.0.1",
+                80,
+                "svea-a",
+                "modellhall",
+                HostList.State.LEAVING),
+            new HostList.Host(
+                "n1", HostList.Role.ENTRY, "127.0.0.1", 81, "svea-b", null, HostList.State.LIVE));
+  }
+
+  @Test
+  void staleHostListSaysSinceWhen() {
+    fixture.platform.hosts().setLagMs(0);
+    long firstMs = FarEndFixture.get(hosts.hosts()).asOfMs();
+    fixture.platform.hosts().put(new Host("n1", "entry", "127.0.0.1", 81, "z", null, "live"));
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.STALE, "/hosts"));
+    HostList.Snapshot stale = FarEndFixture.get(hosts.hosts());
+    assertThat(stale.asOfMs()).isEqualTo(firstMs);
+    assertThat(stale.hosts()).isEmpty();
+    assertThat(FarEndFixture.get(hosts.hosts()).hosts()).hasSize(1);
+  }
+
+  @Test
+  void readsVersions() {
+    fixture.platform.weights().publish("shredder/fill", 2);
+    fixture.platform.weights().publish("shredder/fill", 5);
+    assertThat(FarEndFixture.get(weights.versions("shredder/fill")))
+        .isEqualTo(new WeightStore.Versions(5, List.of(1L, 2L, 5L)));
+  }
+
+  @Test
+  void modelWithoutVersions() {
+    HttpAnswer answer = HttpAnswer.json(200, Json.object().putNull("latest").put("x", 1));
+    HttpAnswer none = HttpAnswer.json(200, Json.parse("{\"versions\":[]}".getBytes(UTF_8)));
+    try (HttpServer server = fixture.serve(exchange -> exchange.respond(none));
+        HttpServer broken = fixture.serve(exchange -> exchange.respond(answer))) {
+      assertThat(FarEndFixture.get(weightsAt(server.address()).versions("m")))
+          .isEqualTo(new WeightStore.Versions(0, List.of()));
+      FarEndFixture.failure(weightsAt(broken.address()).versions("m"));
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FaultKind.class,
+      names = {
+        "SLOW",
+        "REFUSED",
+        "OUTAGE",
+        "LOST_ANSWER",
+        "REORDERED",
+        "CUT_OFF",
+        "TRUNCATED",
+        "MALFORMED",
+        "OVERSIZED",
+        "STALLED"
+      })
+  void failedReadIsAFailureAndNoEmptyList(FaultKind kind) {
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/hosts"));
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/models"));
+    assertThat(FarEndFixture.failure(hosts.hosts()).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+    assertThat(FarEndFixture.failure(weights.versions("m")).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          {}
+          {"asOfMs": 1, "hosts": [{}]}
+          {"asOfMs": 1, "hosts": [{"hostId": "h", "role": "queen", "address": "a", "port": 1, "zone": "z", "state": "live"}]}
+          {"asOfMs": 1, "hosts": [{"hostId": "h", "role": "entry", "address": "a", "port": 99999999999, "zone": "z", "state": "live"}]}
+          {"asOfMs": 1, "hosts": [{"hostId": "h", "role": "entry", "address": "a", "port": 1, "zone": "z", "state": "gone"}]}
+          {"latest": 1, "versions": ["1"]}
+          {"latest": 1.5, "versions": [1]}
+          """)
+  @SuppressWarnings("checkstyle:LineLength")
+  void answersThatDoNotFitAreRefused(String body) {
+    HttpAnswer answer = new HttpAnswer(200, Map.of(), body.getBytes(UTF_8));
+    try (HttpServer server = fixture.serve(exchange -> exchange.respond(answer))) {
+      FarEndFixture.failure(hostsAt(server.address()).hosts());
+      FarEndFixture.failure(weightsAt(server.address()).versions("m"));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/platform/TableStoreContractTest.java
@@ -0,0 +1,245 @@
+package org.sycamoretrack.daemon.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** The contract of {@link TableStore}, kept by {@link HttpTableStore} against the stand-in. */
+class TableStoreContractTest {
+  private static final JsonNode VALUE = TextNode.valueOf("value");
+
+  private final FarEndFixture fixture = new FarEndFixture();
+  private final TableStore store = storeAt(fixture.platform.address());
+
+  private TableStore storeAt(java.net.InetSocketAddress address) {
+    return new HttpTableStore(fixture.client, address, FarEndFixture.TIMEOUT_MS);
+  }
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private CompletionStage<TransactionResult> put(String key, long expected, String value) {
+    return store.transact(
+        Transaction.builder("t").put("t", key, expected, TextNode.valueOf(value)).build());
+  }
+
+  private Optional<TableStore.Row> read(String key) {
+    return FarEndFixture.get(store.read("t", key));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"plain", "with/slash", "with space", "ü%2F+?&#"})
+  void keysOfAnyCharacters(String key) {
+    assertThat(read(key)).isEmpty();
+    assertThat(FarEndFixture.get(put(key, Transaction.ABSENT, "a")))
+        .isEqualTo(new TransactionResult.Committed(List.of(1L)));
+    assertThat(read(key)).contains(new TableStore.Row(key, 1, TextNode.valueOf("a")));
+    assertThat(FarEndFixture.get(store.scan("t", key, "", 10))).hasSize(1);
+  }
+
+  @Test
+  void scansInOrderByPages() {
+    for (String key : List.of("b2", "a1", "b1", "b3", "c")) {
+      FarEndFixture.get(put(key, Transaction.ABSENT, key));
+    }
+    assertThat(FarEndFixture.get(store.scan("t", "b", "", 2)))
+        .extracting(TableStore.Row::key)
+        .containsExactly("b1", "b2");
+    assertThat(FarEndFixture.get(store.scan("t", "b", "b2", 2)))
+        .extracting(TableStore.Row::key)
+        .containsExactly("b3");
+  }
+
+  /** The row has version 2; a deleted row's version goes on rising. */
+  @ParameterizedTest
+  @CsvSource({"2, true", "-1, true", "0, false", "1, false", "3, false"})
+  void putsAreConditional(long expected, boolean committed) {
+    FarEndFixture.get(put("k", Transaction.ABSENT, "a"));
+    FarEndFixture.get(put("k", 1, "b"));
+    TransactionResult result = FarEndFixture.get(put("k", expected, "c"));
+    assertThat(result)
+        .isEqualTo(
+            committed
+                ? new TransactionResult.Committed(List.of(3L))
+                : new TransactionResult.Conflict(
+                    List.of(new TransactionResult.ConflictingRow("t", "k", 2))));
+  }
+
+  @Test
+  void failedCheckLeavesAllRowsAsTheyWere() {
+    FarEndFixture.get(put("guard", Transaction.ABSENT, "a"));
+    Transaction transaction =
+        Transaction.builder("t")
+            .check("t", "guard", 7)
+            .put("t", "k", Transaction.ABSENT, VALUE)
+            .delete("t", "guard", Transaction.ANY)
+            .build();
+    assertThat(FarEndFixture.get(store.transact(transaction)))
+        .isInstanceOf(TransactionResult.Conflict.class);
+    assertThat(read("k")).isEmpty();
+    assertThat(read("guard")).isPresent();
+  }
+
+  @Test
+  void deletedRowGoesOnFromItsVersion() {
+    FarEndFixture.get(put("k", Transaction.ABSENT, "a"));
+    FarEndFixture.get(store.transact(Transaction.builder("t").delete("t", "k", 1).build()));
+    assertThat(read("k")).isEmpty();
+    assertThat(FarEndFixture.get(put("k", Transaction.ABSENT, "b")))
+        .isEqualTo(new TransactionResult.Committed(List.of(3L)));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "REFUSED, NOT_RUN, false",
+    "OUTAGE, UNKNOWN, false",
+    "LOST_ANSWER, UNKNOWN, true",
+    "REORDERED, UNKNOWN, true",
+    "CUT_OFF, UNKNOWN, true",
+    "TRUNCATED, UNKNOWN, true",
+    "MALFORMED, UNKNOWN, true",
+    "OVERSIZED, UNKNOWN, true",
+    "STALLED, UNKNOWN, true",
+  })
+  void failedWriteSaysWhetherItMayHaveTakenEffect(
+      FaultKind kind, Outcome outcome, boolean tookEffect) {
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/transactions"));
+    SycamoreException failure = FarEndFixture.failure(put("k", Transaction.ABSENT, "a"));
+    assertThat(failure.code()).isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+    assertThat(failure.outcome()).isEqualTo(outcome);
+    assertThat(read("k").isPresent()).isEqualTo(tookEffect);
+  }
+
+  @Test
+  void writeThatIsSlowerThanTheTimeoutIsUnknown() {
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.SLOW, "/transactions"));
+    assertThat(FarEndFixture.failure(put("k", Transaction.ABSENT, "a")).outcome())
+        .isEqualTo(Outcome.UNKNOWN);
+  }
+
+  @Test
+  void platformThatIsGoneIsNotRun() {
+    fixture.platform.close();
+    assertThat(FarEndFixture.failure(put("k", Transaction.ABSENT, "a")).outcome())
+        .isEqualTo(Outcome.NOT_RUN);
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FaultKind.class,
+      names = {
+        "SLOW",
+        "REFUSED",
+        "OUTAGE",
+        "LOST_ANSWER",
+        "REORDERED",
+        "CUT_OFF",
+        "TRUNCATED",
+        "MALFORMED",
+        "OVERSIZED",
+        "STALLED"
+      })
+  void failedReadIsAFailureAndNoMissingRow(FaultKind kind) {
+    FarEndFixture.get(put("k", Transaction.ABSENT, "a"));
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/tables"));
+    assertThat(FarEndFixture.failure(store.read("t", "k")).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+    fixture.platform.faults().add(FarEndFixture.once(kind, "/tables"));
+    assertThat(FarEndFixture.failure(store.scan("t", "", "", 10)).code())
+        .isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+  }
+
+  @Test
+  void writeAfterAStaleReadMeetsAConflict() {
+    FarEndFixture.get(put("k", Transaction.ABSENT, "a"));
+    assertThat(read("k").orElseThrow().version()).isEqualTo(1);
+    FarEndFixture.get(put("k", 1, "b"));
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.STALE, "/tables"));
+    long staleVersion = read("k").orElseThrow().version();
+    assertThat(staleVersion).isEqualTo(1);
+    assertThat(FarEndFixture.get(put("k", staleVersion, "c")))
+        .isInstanceOf(TransactionResult.Conflict.class);
+  }
+
+  @Test
+  void reorderedAnswersReachTheirOwnCallers() {
+    TableStore patient = new HttpTableStore(fixture.client, fixture.platform.address(), 5_000);
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.REORDERED, "/transactions"));
+    FarEndFixture.get(put("other", Transaction.ANY, "x").exceptionally(failure -> null));
+    fixture.platform.faults().add(FarEndFixture.once(FaultKind.REORDERED, "/tables"));
+    CompletionStage<Optional<TableStore.Row>> late = patient.read("t", "other");
+    assertThat(FarEndFixture.get(patient.read("t", "missing"))).isEmpty();
+    assertThat(FarEndFixture.get(late).orElseThrow().key()).isEqualTo("other");
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          200 | {"committed": false, "conflicts": []}
+          409 | {"committed": true, "versions": [1]}
+          200 | {"committed": true, "versions": []}
+          200 | {"committed": true, "versions": ["1"]}
+          200 | {"committed": true}
+          200 | {"committed": "yes", "versions": [1]}
+          409 | {"committed": false}
+          200 | {"committed": true, "versions": [1]} {}
+          200 | []
+          200 | ''
+          500 | {"committed": true, "versions": [1]}
+          204 | {"committed": true, "versions": [1]}
+          """)
+  void answersThatDoNotFitAreUnknown(int status, String body) {
+    try (HttpServer server = fixture.serve(exchange -> exchange.respond(answer(status, body)))) {
+      Transaction transaction =
+          Transaction.builder("t").put("t", "k", Transaction.ABSENT, VALUE).build();
+      assertThat(FarEndFixture.failure(storeAt(server.address()).transact(transaction)).outcome())
+          .isEqualTo(Outcome.UNKNOWN);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          {"key": "other", "version": 1, "value": 1}
+          {"key": "k", "version": 0, "value": 1}
+          {"key": "k", "version": 1.5, "value": 1}
+          {"key": "k", "version": 1, "value": null}
+          {"key": "k", "version": 1}
+          {"rows": [{"key": "b", "version": 1, "value": 1}, {"key": "a", "version": 1, "value": 1}]}
+          {"rows": [{"key": "b", "version": 1, "value": 1}, {"key": "b", "version": 1, "value": 1}]}
+          {"rows": {}}
+          """)
+  void rowsThatDoNotFitAreRefused(String body) {
+    try (HttpServer server = fixture.serve(exchange -> exchange.respond(answer(200, body)))) {
+      FarEndFixture.failure(storeAt(server.address()).read("t", "k"));
+      FarEndFixture.failure(storeAt(server.address()).scan("t", "", "", 10));
+    }
+  }
+
+  private static HttpAnswer answer(int status, String body) {
+    return new HttpAnswer(status, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+  }
+}
