Add the planner of weight rollouts

A pool's engines in one zone are brought to the newest weights under the weight store's rate and a floor of engines in service. The planner does no I/O; it says which engines to read, to probe and to order.

An order's success is not taken for its effect, and neither is the engine's report: an engine counts as done when a one-token probe, sent after a read that was itself sent after the order was answered, shows a token of the version. Weighed instead: trusting GET /weights (an engine that reports the new version and serves the old one would stay so), and proof by ordinary traffic (an idle engine has none, and its late chunks may be older than the last swap, so that they only void a proof).

Where the floor lets no engine go, one at a time is loaded in service; else a pool with one engine in a zone would never get new weights.

--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
@@ -0,0 +1,314 @@
+package org.sycamoretrack.core.version;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.sycamoretrack.core.request.Backoff;
+
+/**
+ * Brings the engines of one pool in one zone to a version of the weights.
+ *
+ * <p>{@link #plan} is called every few milliseconds with the situation as it is, and says which
+ * engines to read, to probe with a one-token completion, and to order to load. The {@code on...}
+ * methods take the results. The class does no I/O and never takes an order's success for its
+ * effect; see {@code RolloutEndpoint} for what counts as proof.
+ *
+ * <p>Orders go first to engines that get no work anyway, since loading them costs no capacity, then
+ * to those with the oldest version, then to those with the fewest requests in flight. Two limits
+ * hold at every moment:
+ *
+ * <ul>
+ *   <li>the rate: no more than {@code ordersPerSecond} orders, repeated ones included;
+ *   <li>the floor: of {@code n} engines at least {@code ceil(floorShare * n)} are in service. An
+ *       engine is out of service from its order until a probe has proven the version or the load
+ *       has failed. Where the floor lets none go, one engine at a time is loaded while it stays in
+ *       service, so that a rollout goes on in a small group or beside broken engines.
+ * </ul>
+ *
+ * <p>Without an epoch the rollout only reads: it orders nothing. A version is never taken back: an
+ * engine that serves a newer one than the target is left alone.
+ *
+ * <p>Example: four engines on version 6, floor share 0.5, two orders a second, loads of 0.7 s.
+ * Version 7 is published at 0 s. Orders go out at 0, 0.5, 1.0 and 1.5 s, at most two engines are
+ * out of service, and the last is proven at 2.2 s. Had the second load failed halfway, its engine
+ * would be back in service after the timeout and be ordered again after the backoff.
+ *
+ * <p>Not thread-safe.
+ */
+public final class WeightRollout {
+  /** Stands for a version that is not known or not there. */
+  public static final long UNKNOWN_VERSION = -1;
+
+  /**
+   * An engine as the rest of the system sees it.
+   *
+   * @param name the endpoint's name
+   * @param inService whether it gets new work, leaving loads aside: it is not drained, leaving or
+   *     ejected
+   * @param inFlight its requests in flight
+   */
+  public record Engine(String name, boolean inService, int inFlight) {}
+
+  /**
+   * What a plan is made from.
+   *
+   * @param targetVersion the version to bring the engines to, or {@link #UNKNOWN_VERSION}
+   * @param epoch the fencing number of orders, 0 when no order may be given
+   * @param ordersPerSecond the limit set by the weight store, over 0
+   * @param floorShare the share of engines that stay in service, 0 to 1
+   * @param engines all engines of the group
+   */
+  public record Situation(
+      long targetVersion,
+      long epoch,
+      double ordersPerSecond,
+      double floorShare,
+      List<Engine> engines) {
+    /** Copies the engines. */
+    public Situation {
+      engines = List.copyOf(engines);
+    }
+  }
+
+  /** What is to be done. */
+  public sealed interface Command {
+    /** Returns the endpoint's name. */
+    String endpoint();
+
+    /**
+     * Read the engine's weights and call {@link #onRead} or {@link #onReadFailed}.
+     *
+     * @param endpoint the endpoint's name
+     */
+    record Read(String endpoint) implements Command {}
+
+    /**
+     * Generate one token and call {@link #onProbed} or {@link #onProbeFailed}.
+     *
+     * @param endpoint the endpoint's name
+     */
+    record Probe(String endpoint) implements Command {}
+
+    /**
+     * Order a load and call {@link #onOrderSettled} when it was answered or has failed, or {@link
+     * #onOrderDropped} when it was not sent.
+     *
+     * @param endpoint the endpoint's name
+     * @param version the version to load
+     * @param epoch the fencing number
+     */
+    record Order(String endpoint, long version, long epoch) implements Command {}
+  }
+
+  private final RolloutTimes times;
+  private final Backoff backoff;
+  private final OrderBudget budget = new OrderBudget();
+  private final Map<String, RolloutEndpoint> endpoints = new LinkedHashMap<>();
+  private boolean loadsInPlace;
+
+  /**
+   * Creates a rollout that knows nothing of its engines.
+   *
+   * @param times the durations
+   * @param random the source of jitter
+   */
+  public WeightRollout(RolloutTimes times, RandomGenerator random) {
+    this.times = times;
+    this.backoff = new Backoff(times.retryBaseMs(), times.retryMaxMs(), random);
+  }
+
+  /**
+   * Says what to do now.
+   *
+   * @param situation the situation
+   * @param nowMs the monotonic time in milliseconds
+   * @return the commands, in the order in which they are to be carried out
+   */
+  public List<Command> plan(Situation situation, long nowMs) {
+    follow(situation.engines());
+    loadsInPlace = floorAllowance(situation) == 0;
+    budget.refill(situation.ordersPerSecond(), nowMs);
+    List<Command> commands = new ArrayList<>();
+    for (Map.Entry<String, RolloutEndpoint> entry : endpoints.entrySet()) {
+      RolloutEndpoint endpoint = entry.getValue();
+      endpoint.checkTimeout(nowMs);
+      if (endpoint.beginRead(nowMs)) {
+        commands.add(new Command.Read(entry.getKey()));
+      }
+    }
+    if (situation.epoch() > 0 && situation.targetVersion() != UNKNOWN_VERSION) {
+      addProbes(situation, nowMs, commands);
+      addOrders(situation, nowMs, commands);
+    }
+    return commands;
+  }
+
+  private void follow(List<Engine> engines) {
+    List<String> names = engines.stream().map(Engine::name).toList();
+    endpoints.keySet().retainAll(names);
+    for (String name : names) {
+      endpoints.computeIfAbsent(name, any -> new RolloutEndpoint(name, times, backoff));
+    }
+  }
+
+  private void addProbes(Situation situation, long nowMs, List<Command> commands) {
+    for (Map.Entry<String, RolloutEndpoint> entry : endpoints.entrySet()) {
+      if (entry.getValue().beginProbe(situation.targetVersion(), nowMs)) {
+        commands.add(new Command.Probe(entry.getKey()));
+      }
+    }
+  }
+
+  private void addOrders(Situation situation, long nowMs, List<Command> commands) {
+    List<Engine> candidates =
+        situation.engines().stream()
+            .filter(engine -> endpoint(engine).wantsOrder(situation.targetVersion(), nowMs))
+            .sorted(
+                Comparator.comparing(Engine::inService)
+                    .thenComparingLong(engine -> endpoint(engine).servedVersion())
+                    .thenComparingInt(Engine::inFlight)
+                    .thenComparing(Engine::name))
+            .toList();
+    for (Engine engine : candidates) {
+      boolean removable = isOut(engine) || canRemoveOne(situation);
+      if (budget.isAvailable() && (removable || noneLoads())) {
+        budget.take();
+        endpoint(engine).beginLoad(situation.targetVersion(), !removable, nowMs);
+        commands.add(
+            new Command.Order(engine.name(), situation.targetVersion(), situation.epoch()));
+      }
+    }
+  }
+
+  private RolloutEndpoint endpoint(Engine engine) {
+    return endpoints.get(engine.name());
+  }
+
+  /** Returns how many engines the floor lets be out of service. */
+  private static int floorAllowance(Situation situation) {
+    int count = situation.engines().size();
+    return count - (int) Math.ceil(situation.floorShare() * count);
+  }
+
+  private boolean canRemoveOne(Situation situation) {
+    long out = situation.engines().stream().filter(this::isOut).count();
+    return out < floorAllowance(situation);
+  }
+
+  private boolean isOut(Engine engine) {
+    RolloutEndpoint endpoint = endpoint(engine);
+    return !engine.inService() || !endpoint.isReachable() || endpoint.isOutOfService();
+  }
+
+  private boolean noneLoads() {
+    return endpoints.values().stream().noneMatch(RolloutEndpoint::isLoading);
+  }
+
+  /**
+   * Takes what an engine reports.
+   *
+   * @param endpoint the endpoint's name
+   * @param version the version that it says it serves
+   * @param loading the version that it says it loads, or {@link #UNKNOWN_VERSION}
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onRead(String endpoint, long version, long loading, long nowMs) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onRead(version, loading, nowMs);
+    }
+  }
+
+  /**
+   * Notes that an engine could not be read.
+   *
+   * @param endpoint the endpoint's name
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onReadFailed(String endpoint, long nowMs) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onReadFailed(nowMs);
+    }
+  }
+
+  /**
+   * Takes the version of a probe's token.
+   *
+   * @param endpoint the endpoint's name
+   * @param version the version in the chunk
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onProbed(String endpoint, long version, long nowMs) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onProbed(version, nowMs);
+    }
+  }
+
+  /**
+   * Notes that a probe got no token.
+   *
+   * @param endpoint the endpoint's name
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onProbeFailed(String endpoint, long nowMs) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onProbeFailed(nowMs);
+    }
+  }
+
+  /**
+   * Notes that an order was answered, whatever the answer, or that its call failed.
+   *
+   * @param endpoint the endpoint's name
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onOrderSettled(String endpoint, long nowMs) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onOrderSettled(nowMs);
+    }
+  }
+
+  /**
+   * Notes that an order was not sent, because the right to give it had lapsed.
+   *
+   * @param endpoint the endpoint's name
+   */
+  public void onOrderDropped(String endpoint) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.dropLoad();
+    }
+  }
+
+  /**
+   * Takes the version of a chunk of ordinary traffic. An older version than was proven, as after an
+   * unseen restart, voids the proof; it does not count as a proof itself, since the chunk may have
+   * been made before the engine's last swap.
+   *
+   * @param endpoint the endpoint's name
+   * @param version the version in the chunk
+   */
+  public void onChunk(String endpoint, long version) {
+    RolloutEndpoint state = endpoints.get(endpoint);
+    if (state != null) {
+      state.onChunk(version);
+    }
+  }
+
+  /** Returns whether a load is under way. */
+  public boolean isLoading() {
+    return !noneLoads();
+  }
+
+  /** Returns what is known of all engines. */
+  public List<RolloutStatus> statuses() {
+    return endpoints.values().stream().map(endpoint -> endpoint.status(loadsInPlace)).toList();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/version/WeightRolloutTest.java
@@ -0,0 +1,305 @@
+package org.sycamoretrack.core.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.core.version.WeightRollout.Command;
+
+/** Tests of {@link WeightRollout} against engines with a clock that the test moves. */
+class WeightRolloutTest {
+  private static final int TICK_MS = 20;
+  private static final int LOAD_MS = 300;
+  private static final long LIMIT_MS = 120_000;
+  private static final RolloutTimes TIMES = new RolloutTimes(1_000, 100, 5_000, 250, 2_000);
+
+  /** How the next load of an engine ends. */
+  private enum LoadFault {
+    NONE,
+    FAILS,
+    PARTIAL,
+    MISREPORTED,
+    REFUSED,
+    ANSWER_LOST
+  }
+
+  /** An engine that answers at once and loads in {@link #LOAD_MS}. */
+  private static final class FakeEngine {
+    final List<Long> orderTimesMs = new ArrayList<>();
+    LoadFault nextFault = LoadFault.NONE;
+    boolean up = true;
+    long chunkVersion = 1;
+    long reportedVersion = 1;
+    long loading = WeightRollout.UNKNOWN_VERSION;
+    long loadedAtMs;
+    LoadFault fault = LoadFault.NONE;
+
+    void order(long version, long nowMs) {
+      orderTimesMs.add(nowMs);
+      fault = nextFault;
+      nextFault = LoadFault.NONE;
+      if (fault != LoadFault.REFUSED) {
+        loading = version;
+        loadedAtMs = nowMs + LOAD_MS;
+      }
+    }
+
+    void advance(long nowMs) {
+      boolean ends = loading != WeightRollout.UNKNOWN_VERSION && nowMs >= loadedAtMs;
+      if (!ends || fault == LoadFault.PARTIAL) {
+        return;
+      }
+      if (fault != LoadFault.FAILS) {
+        reportedVersion = loading;
+      }
+      if (fault == LoadFault.NONE || fault == LoadFault.ANSWER_LOST) {
+        chunkVersion = loading;
+      }
+      loading = WeightRollout.UNKNOWN_VERSION;
+    }
+
+    void restart() {
+      chunkVersion = 1;
+      reportedVersion = 1;
+      loading = WeightRollout.UNKNOWN_VERSION;
+    }
+  }
+
+  private final Map<String, FakeEngine> engines = new LinkedHashMap<>();
+  private final WeightRollout rollout = new WeightRollout(TIMES, new Random(1));
+  private final List<String> drained = new ArrayList<>();
+  private long nowMs;
+  private long target = 2;
+  private long epoch = 1;
+  private double ordersPerSecond = 4;
+  private double floorShare = 0.5;
+  private int maxOutOfService;
+  private int maxFailedLoads;
+
+  private void addEngines(int count) {
+    for (int i = 0; i < count; i++) {
+      engines.put("e" + (10 + i), new FakeEngine());
+    }
+  }
+
+  private FakeEngine engine(int index) {
+    return engines.get("e" + (10 + index));
+  }
+
+  private void tick() {
+    nowMs += TICK_MS;
+    engines.values().forEach(engine -> engine.advance(nowMs));
+    List<WeightRollout.Engine> seen =
+        engines.keySet().stream()
+            .map(name -> new WeightRollout.Engine(name, !drained.contains(name), 0))
+            .toList();
+    WeightRollout.Situation situation =
+        new WeightRollout.Situation(target, epoch, ordersPerSecond, floorShare, seen);
+    rollout.plan(situation, nowMs).forEach(this::carryOut);
+    int out = (int) rollout.statuses().stream().filter(RolloutStatus::outOfService).count();
+    maxOutOfService = Math.max(maxOutOfService, out);
+    for (RolloutStatus status : rollout.statuses()) {
+      maxFailedLoads = Math.max(maxFailedLoads, status.failedLoads());
+    }
+  }
+
+  private void carryOut(Command command) {
+    String name = command.endpoint();
+    FakeEngine engine = engines.get(name);
+    switch (command) {
+      case Command.Read read when !engine.up -> rollout.onReadFailed(read.endpoint(), nowMs);
+      case Command.Read read ->
+          rollout.onRead(read.endpoint(), engine.reportedVersion, engine.loading, nowMs);
+      case Command.Probe probe when !engine.up -> rollout.onProbeFailed(probe.endpoint(), nowMs);
+      case Command.Probe probe -> rollout.onProbed(probe.endpoint(), engine.chunkVersion, nowMs);
+      case Command.Order order -> {
+        assertThat(order.epoch()).isEqualTo(epoch).isPositive();
+        if (engine.up) {
+          engine.order(order.version(), nowMs);
+        }
+        rollout.onOrderSettled(name, nowMs);
+      }
+    }
+  }
+
+  private void runUntil(BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      tick();
+      assertThat(nowMs).as("time in the rollout").isLessThan(LIMIT_MS);
+    }
+  }
+
+  private void runFor(long durationMs) {
+    long endMs = nowMs + durationMs;
+    runUntil(() -> nowMs >= endMs);
+  }
+
+  private boolean allProven() {
+    return rollout.statuses().size() == engines.size()
+        && rollout.statuses().stream()
+            .allMatch(status -> status.proven() && status.servedVersion() >= target);
+  }
+
+  private long orderCount() {
+    return engines.values().stream().mapToLong(engine -> engine.orderTimesMs.size()).sum();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 4, 0.5", "8, 4, 0.5", "24, 8, 0.5", "24, 16, 0.75", "100, 50, 0.5"})
+  void takesHardlyLongerThanTheRateAllows(int count, double rate, double floor) {
+    addEngines(count);
+    ordersPerSecond = rate;
+    floorShare = floor;
+    runUntil(this::allProven);
+    assertThat(orderCount()).isEqualTo(count);
+    double limitMs = (count - 1) / rate * 1_000 + LOAD_MS;
+    assertThat((double) nowMs).isLessThan(1.15 * limitMs + 3 * TIMES.loadingReadIntervalMs());
+    assertThat(nowMs).isGreaterThan((long) ((count - 2) / rate * 1_000 * 0.9));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"8, 0.5, 4", "8, 0.75, 2", "8, 1.0, 0", "3, 0.5, 1", "1, 0.5, 0", "2, 0.5, 1"})
+  void keepsTheFloor(int count, double floor, int mostOut) {
+    addEngines(count);
+    ordersPerSecond = 1_000;
+    floorShare = floor;
+    runUntil(this::allProven);
+    assertThat(maxOutOfService).isEqualTo(mostOut);
+  }
+
+  @Test
+  void brokenEnginesCountAgainstTheFloorAndDontStopTheRollout() {
+    addEngines(6);
+    ordersPerSecond = 1_000;
+    for (int i = 0; i < 4; i++) {
+      engine(i).up = false;
+    }
+    runUntil(() -> engine(4).chunkVersion == 2 && engine(5).chunkVersion == 2);
+    assertThat(maxOutOfService).isZero();
+    assertThat(engine(4).orderTimesMs.get(0) - engine(5).orderTimesMs.get(0))
+        .as("loads in service, one after the other")
+        .matches(gap -> Math.abs(gap) >= LOAD_MS);
+  }
+
+  @Test
+  void drainedEnginesAreLoadedFirst() {
+    addEngines(4);
+    floorShare = 0.75;
+    ordersPerSecond = 1;
+    drained.add("e13");
+    runUntil(this::allProven);
+    long first = engine(3).orderTimesMs.get(0);
+    assertThat(engines.values()).allMatch(engine -> engine.orderTimesMs.get(0) >= first);
+  }
+
+  @ParameterizedTest
+  @EnumSource(LoadFault.class)
+  void repairsLoadsThatFail(LoadFault fault) {
+    addEngines(3);
+    engine(1).nextFault = fault;
+    runUntil(this::allProven);
+    assertThat(engines.values()).allMatch(engine -> engine.chunkVersion == 2);
+    boolean repeated = fault != LoadFault.NONE && fault != LoadFault.ANSWER_LOST;
+    assertThat(engine(1).orderTimesMs).hasSize(repeated ? 2 : 1);
+    assertThat(maxFailedLoads).isEqualTo(repeated ? 1 : 0);
+    assertThat(rollout.statuses()).noneMatch(RolloutStatus::outOfService);
+  }
+
+  @Test
+  void repeatsWaitLongerAndCountAgainstTheRate() {
+    addEngines(1);
+    engine(0).nextFault = LoadFault.FAILS;
+    runUntil(
+        () -> {
+          engine(0).nextFault = LoadFault.FAILS;
+          return engine(0).orderTimesMs.size() == 6;
+        });
+    assertThat(rollout.statuses().get(0).failedLoads()).isEqualTo(5);
+    engine(0).nextFault = LoadFault.NONE;
+    runUntil(this::allProven);
+    assertThat(rollout.statuses().get(0).failedLoads()).isZero();
+  }
+
+  @Test
+  void misreportedLoadIsNeverShownAsProven() {
+    addEngines(1);
+    engine(0).nextFault = LoadFault.MISREPORTED;
+    runUntil(
+        () -> {
+          RolloutStatus status = rollout.statuses().stream().findFirst().orElse(null);
+          boolean claimsTarget = status != null && status.proven() && status.servedVersion() == 2;
+          assertThat(claimsTarget && engine(0).chunkVersion != 2).isFalse();
+          return claimsTarget;
+        });
+  }
+
+  @Test
+  void ordersNothingWithoutAnEpoch() {
+    addEngines(4);
+    epoch = 0;
+    runFor(30_000);
+    assertThat(orderCount()).isZero();
+    assertThat(rollout.statuses()).allMatch(status -> status.servedVersion() == 1);
+  }
+
+  @Test
+  void restartedEngineIsLoadedAgain() {
+    addEngines(2);
+    runUntil(this::allProven);
+    engine(0).up = false;
+    runFor(2_000);
+    engine(0).restart();
+    engine(0).up = true;
+    runUntil(() -> engine(0).chunkVersion == 2);
+    assertThat(engine(0).orderTimesMs).hasSize(2);
+    assertThat(engine(1).orderTimesMs).hasSize(1);
+  }
+
+  @Test
+  void chunkOfAnOlderVersionAsksForANewProof() {
+    addEngines(1);
+    runUntil(this::allProven);
+    engine(0).chunkVersion = 1;
+    rollout.onChunk("e10", 1);
+    assertThat(allProven()).isFalse();
+    runUntil(() -> engine(0).chunkVersion == 2);
+  }
+
+  @Test
+  void leavesNewerVersionsAlone() {
+    addEngines(2);
+    engine(0).chunkVersion = 5;
+    engine(0).reportedVersion = 5;
+    runUntil(this::allProven);
+    assertThat(engine(0).orderTimesMs).isEmpty();
+  }
+
+  @Test
+  void newHolderLeavesLoadsUnderWayToTheirEnd() {
+    addEngines(1);
+    engine(0).order(2, 0);
+    runUntil(this::allProven);
+    assertThat(engine(0).orderTimesMs).hasSize(1);
+  }
+
+  @Test
+  void droppedOrderIsGivenAgain() {
+    addEngines(1);
+    WeightRollout.Situation situation =
+        new WeightRollout.Situation(
+            2, 1, 100, 0, List.of(new WeightRollout.Engine("e10", true, 0)));
+    rollout.plan(situation, 0);
+    rollout.onRead("e10", 1, WeightRollout.UNKNOWN_VERSION, 0);
+    assertThat(rollout.plan(situation, 20)).contains(new Command.Order("e10", 2, 1));
+    rollout.onOrderDropped("e10");
+    assertThat(rollout.plan(situation, 40)).contains(new Command.Order("e10", 2, 1));
+  }
+}
