Tell a dead engine from a broken answer before charging its requests

Cause: an answer that was cut off twice while it ran alone put its request into quarantine (four cases of GenerationPathTest failed with 'quarantined'): that all streams had closed was taken for a death. Change: when all have closed, the engine is asked for its load; only one that can't be reached died.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/CompletionApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/CompletionApi.java
@@ -10,6 +10,7 @@
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 import org.sycamoretrack.transport.request.HttpExchange;
 
@@ -21,6 +22,7 @@
   private final Generator generator;
   private final Predicate<String> isModelPool;
   private final NodeLimits limits;
+  private final Metrics metrics;
 
   /**
    * Creates the interface.
@@ -28,11 +30,14 @@
    * @param generator generates the answers
    * @param isModelPool whether a pool of model engines of a name is in force
    * @param limits the node's limits
+   * @param metrics the node's metrics
    */
-  CompletionApi(Generator generator, Predicate<String> isModelPool, NodeLimits limits) {
+  CompletionApi(
+      Generator generator, Predicate<String> isModelPool, NodeLimits limits, Metrics metrics) {
     this.generator = generator;
     this.isModelPool = isModelPool;
     this.limits = limits;
+    this.metrics = metrics;
   }
 
   /** Answers a call. */
@@ -47,8 +52,9 @@
         call.stream()
             ? new StreamedCompletion(call, exchange)
             : new WholeCompletion(call, exchange);
+    GenerationListener measured = new MeasuredGeneration(answer, metrics, "completions");
     GenerationRequest request = request(call, exchange.headers());
-    Generation generation = generator.generate(request, answer, exchange.eventLoop());
+    Generation generation = generator.generate(request, measured, exchange.eventLoop());
     exchange.onAbandoned(generation::cancel);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointDirectory.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointDirectory.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 
 /**
@@ -21,6 +22,7 @@
   private final EngineClient client;
   private final PoisonGuard poison;
   private final NodeLimits limits;
+  private final Metrics metrics;
   private final Map<String, EndpointTarget> targets = new ConcurrentHashMap<>();
   private final Map<String, EndpointWorker> workers = new ConcurrentHashMap<>();
 
@@ -31,13 +33,19 @@
    * @param client calls the engines
    * @param poison the node's registry of requests that crash endpoints
    * @param limits the node's limits
+   * @param metrics the node's metrics
    */
   public EndpointDirectory(
-      EventLoopGroup loops, EngineClient client, PoisonGuard poison, NodeLimits limits) {
+      EventLoopGroup loops,
+      EngineClient client,
+      PoisonGuard poison,
+      NodeLimits limits,
+      Metrics metrics) {
     this.loops = loops;
     this.client = client;
     this.poison = poison;
     this.limits = limits;
+    this.metrics = metrics;
   }
 
   /**
@@ -81,6 +89,6 @@
 
   private EndpointWorker newWorker(EndpointTarget target) {
     EventLoop loop = loops.next();
-    return new EndpointWorker(target, loop, client, poison, limits);
+    return new EndpointWorker(target, loop, client, poison, limits, metrics);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointTask.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointTask.java
@@ -68,7 +68,8 @@
       return;
     }
     long nowNanos = System.nanoTime();
-    worker.onTokens((nowNanos - lastNanos) / NANOS_PER_MS, !tokensSeen, tokens, weightVersion);
+    worker.onTokens(
+        this, (nowNanos - lastNanos) / NANOS_PER_MS, !tokensSeen, tokens, weightVersion);
     lastNanos = nowNanos;
     tokensSeen = true;
     listener.onTokens(text, tokens, weightVersion);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
@@ -14,9 +14,11 @@
 import org.sycamoretrack.core.request.Flow;
 import org.sycamoretrack.core.request.InFlight;
 import org.sycamoretrack.core.request.LimitSettings;
+import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.Polled;
 import org.sycamoretrack.daemon.platform.EngineClient;
 import org.sycamoretrack.daemon.platform.EngineFailure;
+import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 
 /**
@@ -26,9 +28,9 @@
  * requests as the {@link ConcurrencyLimit} allows, the rest wait in the {@link AdmissionQueue}.
  *
  * <p>When streams close early, the worker waits for a moment whether all that ran at that time have
- * closed too. If so, the engine died, and what it ran is charged in the {@link PoisonGuard} before
- * any of it is reported as failed, so that a request that kills engines is a suspect before it can
- * be sent to the next one.
+ * closed too, and then asks the engine for its load. If it can't be reached, the engine died, and
+ * what it ran is charged in the {@link PoisonGuard} before any of it is reported as failed, so that
+ * a request that kills engines is a suspect before it can be sent to the next one.
  *
  * <p>All state is confined to the event loop. Invariant: each task is in one of queue, held or
  * running, or has ended and told its listener once.
@@ -45,6 +47,7 @@
   private final EngineClient client;
   private final PoisonGuard poison;
   private final NodeLimits limits;
+  private final Metrics metrics;
   private final AdmissionQueue<EndpointTask> queue;
   private final ConcurrencyLimit limit;
   private final EndpointStats stats = new EndpointStats();
@@ -63,12 +66,14 @@
       EventLoop loop,
       EngineClient client,
       PoisonGuard poison,
-      NodeLimits limits) {
+      NodeLimits limits,
+      Metrics metrics) {
     this.target = target;
     this.loop = loop;
     this.client = client;
     this.poison = poison;
     this.limits = limits;
+    this.metrics = metrics;
     this.queue =
         AdmissionQueue.builder()
             .interactiveCapacity(limits.endpointQueue())
@@ -142,7 +147,10 @@
     while (true) {
       Polled<EndpointTask> polled = queue.poll(nowMs(), inFlight, limit.limit());
       switch (polled) {
-        case Polled.Admitted<EndpointTask> admitted -> start(admitted.item());
+        case Polled.Admitted<EndpointTask> admitted -> {
+          metrics.onAttempt(admitted.requestClass(), admitted.waitedMs());
+          start(admitted.item());
+        }
         case Polled.Expired<EndpointTask> expired -> expire(expired.item());
         case Polled.Nothing<EndpointTask> nothing -> {
           publishView();
@@ -191,8 +199,9 @@
   }
 
   /** Notes a chunk of a running task. */
-  void onTokens(double elapsedMs, boolean first, int tokens, long version) {
+  void onTokens(EndpointTask task, double elapsedMs, boolean first, int tokens, long version) {
     long nowMs = nowMs();
+    metrics.onTokens(task.request().requestClass(), tokens);
     lastVersion = version;
     if (first) {
       stats.onFirstToken(nowMs, elapsedMs);
@@ -219,6 +228,7 @@
       return;
     }
     limit.onDropped();
+    metrics.onAttemptFailed(failure.outcome());
     stats.onFailure(nowMs());
     task.setFailure(toFailure(failure));
     if (failure.kind() == EngineFailure.Kind.CLOSED_EARLY) {
@@ -249,10 +259,32 @@
   }
 
   private void closeDeathWindow(Set<EndpointTask> witnesses) {
-    deathWindowOpen = false;
     Set<EndpointTask> lost = Set.copyOf(brokenOff);
     brokenOff.clear();
-    boolean died = witnesses.stream().noneMatch(running::contains);
+    if (witnesses.stream().anyMatch(running::contains)) {
+      deathWindowOpen = false;
+      report(lost, false);
+      return;
+    }
+    client
+        .load(target.address())
+        .whenComplete(
+            (load, failure) ->
+                execute(
+                    () -> {
+                      deathWindowOpen = false;
+                      report(lost, isUnreachable(failure));
+                      if (!brokenOff.isEmpty()) {
+                        openDeathWindow();
+                      }
+                    }));
+  }
+
+  private static boolean isUnreachable(Throwable failure) {
+    return failure != null && ErrorAnswers.toError(failure).outcome() == Outcome.NOT_RUN;
+  }
+
+  private void report(Set<EndpointTask> lost, boolean died) {
     if (died) {
       poison.onEndpointDeath(target.name());
     }
@@ -262,6 +294,7 @@
       }
       task.failAsSet(died);
     }
+    pump();
   }
 
   private boolean leave(EndpointTask task) {
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonMessage.java
@@ -0,0 +1,35 @@
+package org.sycamoretrack.daemon.request;
+
+import org.sycamoretrack.daemon.connection.FieldReader;
+import org.sycamoretrack.daemon.connection.FieldWriter;
+import org.sycamoretrack.daemon.connection.PeerMessage;
+
+/**
+ * Tells that a request was in flight when an endpoint died.
+ *
+ * @param fingerprint the fingerprint of the request
+ * @param deathId names the death
+ */
+public record PoisonMessage(String fingerprint, String deathId) implements PeerMessage {
+  /** The type on the peer link. */
+  public static final String TYPE = "poison.charge";
+
+  /**
+   * Reads a message.
+   *
+   * @param fields its fields
+   */
+  public static PoisonMessage read(FieldReader fields) {
+    return new PoisonMessage(fields.string("fingerprint"), fields.string("deathId"));
+  }
+
+  @Override
+  public String type() {
+    return TYPE;
+  }
+
+  @Override
+  public void writeFields(FieldWriter out) {
+    out.string("fingerprint", fingerprint).string("deathId", deathId);
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -80,7 +80,7 @@
 
   /** A poll that waits for a sample. */
   private record WaitingPoll(
-      HttpExchange exchange, StepCodec.Poll poll, ScheduledFuture<?> timeout) {}
+      HttpExchange exchange, StepCodec.Poll poll, ScheduledFuture<?> timeout, long sinceNanos) {}
 
   StepSpec spec() {
     return spec;
@@ -124,7 +124,7 @@
     if (!answerIfReady(exchange, poll)) {
       ScheduledFuture<?> timeout =
           loop.schedule(this::endWaitingPoll, poll.waitMs(), TimeUnit.MILLISECONDS);
-      WaitingPoll parked = new WaitingPoll(exchange, poll, timeout);
+      WaitingPoll parked = new WaitingPoll(exchange, poll, timeout, System.nanoTime());
       waiting = parked;
       exchange.onAbandoned(() -> loop.execute(() -> forget(parked)));
     }
@@ -143,11 +143,15 @@
     if (samples.isEmpty() && !state.isComplete() && poll.waitMs() > 0) {
       return false;
     }
+    services.metrics().onPollAnswered(0);
     respond(exchange, samples);
     return true;
   }
 
   private void respond(HttpExchange exchange, List<Sample> samples) {
+    for (Sample sample : samples) {
+      services.metrics().onSampleOffered(trainsVersion - sample.oldestVersion());
+    }
     ObjectNode answer = StepCodec.pollAnswer(spec, state.isComplete(), samples);
     if (!quarantined.isEmpty()) {
       answer.set("quarantined", Json.mapper().valueToTree(quarantined));
@@ -160,6 +164,9 @@
       WaitingPoll ended = waiting;
       waiting = null;
       ended.timeout().cancel(false);
+      services
+          .metrics()
+          .onPollAnswered(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - ended.sinceNanos()));
       respond(ended.exchange(), state.deliverable(oldestVersion(), ended.poll().maxSamples()));
     }
   }
@@ -235,6 +242,7 @@
     tokensMade += sample.tokens();
     if (sample.oldestVersion() < oldestVersion()) {
       staleAtFinish++;
+      services.metrics().onSampleTooOld();
       running.remove(run.slot());
       state.fail(run.slot());
       dispatch();
@@ -282,6 +290,7 @@
     running.remove(run.slot());
     if (state.finish(sample)) {
       countMemory();
+      services.metrics().onSampleFinished();
       services.sink().onFinished(spec.id(), sample);
       answerWaitingPollSoon();
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepServices.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepServices.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.sycamoretrack.daemon.process.Metrics;
 
 /**
  * What all steps of a node share.
@@ -13,6 +14,7 @@
  * @param routes gives the newest routing table
  * @param plans gives what the configuration says of a track
  * @param memory bounds what is kept of finished samples
+ * @param metrics the node's metrics
  */
 record StepServices(
     Generator generator,
@@ -20,4 +22,5 @@
     SampleSink sink,
     Supplier<RoutingTable> routes,
     Function<String, Optional<TrackPlan>> plans,
-    SampleMemory memory) {}
+    SampleMemory memory,
+    Metrics metrics) {}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/GenerationPathTest.java
@@ -0,0 +1,167 @@
+package org.sycamoretrack.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.standins.process.EngineSettings;
+import org.sycamoretrack.standins.process.Fault;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.standins.request.Generation;
+
+/** Tests of dispatch, resume and quarantine against engine stand-ins that fail. */
+@Timeout(60)
+class GenerationPathTest {
+  private static String expectedText(String prompt, long seed) {
+    Generation whole = new Generation(prompt, seed, EngineFixture.MEDIAN_TOKENS);
+    return whole.text(Math.min(1_000, whole.naturalTokens()));
+  }
+
+  private static EngineSettings.Builder fast() {
+    return EngineSettings.builder().tokens(500, 4);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void answersAreWholeAndNameTheirVersion(long seed) {
+    try (EngineFixture fixture = new EngineFixture(2, fast())) {
+      var collected = fixture.generate(EngineFixture.request("p", seed).build());
+      assertThat(collected.end.join()).isIn("stop", "length");
+      assertThat(collected.text.toString()).isEqualTo(expectedText("p", seed));
+      assertThat(collected.spans()).extracting("version").containsExactly(7L);
+    }
+  }
+
+  @Test
+  void anEngineThatCrashesInMidStreamIsContinuedElsewhere() {
+    try (EngineFixture fixture = new EngineFixture(2, EngineSettings.builder().tokens(2_000, 2))) {
+      List<EngineFixture.Collected> all = new ArrayList<>();
+      for (long seed = 0; seed < 20; seed++) {
+        all.add(fixture.generate(EngineFixture.request("p" + seed, seed).build()));
+      }
+      all.forEach(collected -> collected.firstTokens.join());
+      fixture.engines.get(0).crash().join();
+      for (int seed = 0; seed < 20; seed++) {
+        all.get(seed).end.join();
+        assertThat(all.get(seed).text.toString()).isEqualTo(expectedText("p" + seed, seed));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FaultKind.class,
+      names = {"CUT_OFF", "TRUNCATED", "MALFORMED", "REFUSED", "OUTAGE", "LOST_ANSWER"})
+  void anAnswerThatBreaksOffIsContinued(FaultKind kind) {
+    try (EngineFixture fixture = new EngineFixture(2, fast())) {
+      for (var engine : fixture.engines) {
+        engine
+            .faults()
+            .add(Fault.builder(kind).path("/v1/completions").times(1).afterChunks(2).build());
+      }
+      var collected = fixture.generate(EngineFixture.request("p", 11).build());
+      collected.end.join();
+      assertThat(collected.text.toString()).isEqualTo(expectedText("p", 11));
+    }
+  }
+
+  @Test
+  void whatMayHaveRunIsNotRepeatedWhenItMustNotBe() {
+    try (EngineFixture fixture = new EngineFixture(2, fast())) {
+      for (var engine : fixture.engines) {
+        engine
+            .faults()
+            .add(Fault.builder(FaultKind.LOST_ANSWER).path("/v1/completions").times(1).build());
+      }
+      var collected = fixture.generate(EngineFixture.request("p", 11).repeatable(false).build());
+      assertThatThrownBy(() -> collected.end.join())
+          .cause()
+          .isInstanceOfSatisfying(
+              SycamoreException.class,
+              error -> assertThat(error.outcome()).isNotEqualTo(Outcome.NOT_RUN));
+      long runs = fixture.engines.stream().mapToLong(engine -> engine.journal().count()).sum();
+      assertThat(runs).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aPoisonRequestCostsTwoEnginesAndItsNeighboursEndWell() {
+    try (EngineFixture fixture = new EngineFixture(4, EngineSettings.builder().tokens(2_000, 2))) {
+      for (var engine : fixture.engines) {
+        engine.faults().add(Fault.builder(FaultKind.POISON).prompt("poison").build());
+      }
+      List<EngineFixture.Collected> neighbours = new ArrayList<>();
+      for (long seed = 0; seed < 24; seed++) {
+        neighbours.add(fixture.generate(EngineFixture.request("n" + seed, seed).build()));
+      }
+      neighbours.forEach(collected -> collected.firstTokens.join());
+      for (int sent = 0; sent < 5; sent++) {
+        var poison = fixture.generate(EngineFixture.request("poison", 99).build());
+        assertThatThrownBy(() -> poison.end.get(20, TimeUnit.SECONDS))
+            .cause()
+            .isInstanceOfSatisfying(
+                SycamoreException.class,
+                error -> assertThat(error.code()).isEqualTo(ErrorCode.QUARANTINED));
+      }
+      for (int seed = 0; seed < 24; seed++) {
+        neighbours.get(seed).end.join();
+        assertThat(neighbours.get(seed).text.toString()).isEqualTo(expectedText("n" + seed, seed));
+      }
+      assertThat(fixture.poison.quarantined()).hasSize(1);
+    }
+  }
+
+  @Test
+  void noEndpointInServiceIsRefusedAsNotRun() {
+    try (EngineFixture fixture = new EngineFixture(1, fast())) {
+      fixture.inService = index -> false;
+      var collected = fixture.generate(EngineFixture.request("p", 1).build());
+      assertThatThrownBy(() -> collected.end.join())
+          .cause()
+          .isInstanceOfSatisfying(
+              SycamoreException.class,
+              error -> {
+                assertThat(error.code()).isEqualTo(ErrorCode.NO_ENDPOINT);
+                assertThat(error.outcome()).isEqualTo(Outcome.NOT_RUN);
+              });
+    }
+  }
+
+  @Test
+  void weightsThatAreTooOldAreNotUsed() {
+    try (EngineFixture fixture = new EngineFixture(1, fast())) {
+      fixture.servedVersion = 9;
+      var collected =
+          fixture.generate(
+              EngineFixture.request("p", 1)
+                  .oldestVersion(8)
+                  .deadlineNanos(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(500))
+                  .build());
+      assertThatThrownBy(() -> collected.end.join()).hasCauseInstanceOf(SycamoreException.class);
+      assertThat(collected.spans()).isEmpty();
+    }
+  }
+
+  @Test
+  void aMovedRequestContinuesFromItsTokens() {
+    try (EngineFixture fixture = new EngineFixture(2, EngineSettings.builder().tokens(4_000, 1))) {
+      var collected = fixture.generate(EngineFixture.request("p", 3).build());
+      collected.firstTokens.join();
+      String from = collected.generation.endpoint();
+      collected.generation.moveTo(from.equals("e0") ? "e1" : "e0");
+      collected.end.join();
+      assertThat(collected.text.toString()).isEqualTo(expectedText("p", 3));
+      assertThat(collected.generation.endpoint()).isNotEqualTo(from);
+    }
+  }
+}
