Add at-most-once claims: ledger, key ranges and service

A keyed call runs only after a line that claims it is in the table service. Lines go out in batches, each in one transaction that checks the range's row, so that an owner that was replaced can write nothing more; the next owner reads all batches before it decides. A lost answer is settled by reading the batch back under its number, or by writing the same batch again. Numbers run on across owners, so that a stale read of the batches is found by the first write.

Taking a range from an owner at once was weighed and ruled out: two zones that don't see each other would take it back and forth. A live owner gives it back; one that is gone loses it when its lease's row stands still. That is a hint only; the epoch decides.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlInbox.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlInbox.java
@@ -48,6 +48,17 @@
     return control.execute(command);
   }
 
+  /**
+   * Hands over a command that must not be lost: when the queue is full it runs at the next {@link
+   * #drain}. Its sender must bound the number of such commands.
+   *
+   * @param command runs on the control thread
+   */
+  public void submit(Runnable command) {
+    results.add(command);
+    control.execute(this::drain);
+  }
+
   /**
    * Takes a call's result on the control thread.
    *
@@ -55,11 +66,7 @@
    * @param action takes the value, or null and the failure
    */
   public <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action) {
-    stage.whenComplete(
-        (value, failure) -> {
-          results.add(() -> action.accept(value, failure));
-          control.execute(this::drain);
-        });
+    stage.whenComplete((value, failure) -> submit(() -> action.accept(value, failure)));
   }
 
   /** Takes in the results that have arrived. Called on the control thread. */
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimContext.java
@@ -0,0 +1,88 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.Collection;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.request.ClaimLimits;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.process.ControlInbox;
+
+/** What all key ranges of a node share. */
+final class ClaimContext {
+  private static final System.Logger LOGGER = System.getLogger(ClaimService.class.getName());
+
+  private final String nodeId;
+  private final String writer;
+  private final ClaimTable table;
+  private final OwnerWatch owners;
+  private final ClaimTimes times;
+  private final ClaimLimits limits;
+  private final LongSupplier clockMs;
+  private final LongSupplier epochClockMs;
+  private final Supplier<? extends Collection<String>> aliveNodeIds;
+  private final ControlInbox inbox;
+
+  ClaimContext(ClaimService.Builder builder, ControlInbox inbox, TableStore table) {
+    this.nodeId = builder.nodeId;
+    this.writer = builder.writer;
+    this.table = new ClaimTable(table);
+    this.owners = new OwnerWatch(table, builder.times.takeOverAfterMs(), builder.clockMs);
+    this.times = builder.times;
+    this.limits = builder.limits;
+    this.clockMs = builder.clockMs;
+    this.epochClockMs = builder.epochClockMs;
+    this.aliveNodeIds = builder.aliveNodeIds;
+    this.inbox = inbox;
+  }
+
+  String nodeId() {
+    return nodeId;
+  }
+
+  /** Names this process and no other. */
+  String writer() {
+    return writer;
+  }
+
+  ClaimTable table() {
+    return table;
+  }
+
+  OwnerWatch owners() {
+    return owners;
+  }
+
+  ClaimTimes times() {
+    return times;
+  }
+
+  ClaimLimits limits() {
+    return limits;
+  }
+
+  /** Returns the monotonic time in milliseconds. */
+  long nowMs() {
+    return clockMs.getAsLong();
+  }
+
+  /** Returns the time in milliseconds since the epoch. */
+  long epochMs() {
+    return epochClockMs.getAsLong();
+  }
+
+  boolean isAlive(String otherNodeId) {
+    return aliveNodeIds.get().contains(otherNodeId);
+  }
+
+  <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action) {
+    inbox.onResult(stage, action);
+  }
+
+  void log(String event, String range, Throwable failure) {
+    System.Logger.Level level =
+        failure == null ? System.Logger.Level.INFO : System.Logger.Level.WARNING;
+    LOGGER.log(level, event + " " + range + (failure == null ? "" : " " + failure.getMessage()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimService.java
@@ -0,0 +1,305 @@
+package org.sycamoretrack.daemon.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.RendezvousHash;
+import org.sycamoretrack.core.request.ClaimLimits;
+import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.process.ControlInbox;
+
+/**
+ * Lets keyed calls run at most once.
+ *
+ * <p>The keys are spread over {@link #RANGE_COUNT} ranges by their hash. The nodes that are alive
+ * share the ranges by rendezvous hashing, which says who <em>should</em> own a range; who owns it
+ * is in the table service, see {@link ClaimRange}. A node forwards a keyed call to {@link #ownerOf}
+ * its key, which claims it, runs it and records its answer.
+ *
+ * <p>Keys must be told apart by the caller of this class: a key that two services may use has the
+ * service's name in it.
+ *
+ * <p>{@link #poll} is called on the control thread several times a second. All other methods may be
+ * called from any thread; the stages that they return are completed on the control thread, where
+ * their dependents must not do long work.
+ *
+ * <p>Example of a call's life on the owner:
+ *
+ * <pre>{@code
+ * claims.claim("counter-app/k-17", fingerprint).thenAccept(decision -> {
+ *   switch (decision) {
+ *     case ClaimDecision.Run run -> forward(call).thenAccept(answer -> claims.settle(key, answer));
+ *     ...
+ *   }
+ * });
+ * }</pre>
+ */
+public final class ClaimService {
+  /** The number of key ranges, the same on all nodes and for ever. */
+  public static final int RANGE_COUNT = 64;
+
+  private final ControlInbox inbox;
+  private final ClaimContext context;
+  private final BooleanSupplier leaseHeld;
+  private final Supplier<? extends Collection<String>> aliveNodeIds;
+  private final List<ClaimRange> ranges = new ArrayList<>();
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private volatile List<Optional<String>> wantedOwners = List.of();
+  private Collection<String> lastAlive;
+  private boolean stopping;
+
+  private ClaimService(Builder builder) {
+    this.inbox = new ControlInbox(builder.control);
+    this.context = new ClaimContext(builder, inbox, builder.table);
+    this.leaseHeld = builder.leaseHeld;
+    this.aliveNodeIds = builder.aliveNodeIds;
+    for (int i = 0; i < RANGE_COUNT; i++) {
+      ranges.add(new ClaimRange(rangeName(i), context));
+    }
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  private static String rangeName(int index) {
+    return "r-%02d".formatted(index);
+  }
+
+  private static int rangeOf(String key) {
+    long hash = MurmurHash3.hash128x64(key.getBytes(StandardCharsets.UTF_8))[0];
+    return (int) Long.remainderUnsigned(hash, RANGE_COUNT);
+  }
+
+  /**
+   * Returns the node that should own a key; the call is to be claimed and run there.
+   *
+   * @param key the idempotency key
+   * @return the node's id, empty before the first {@link #poll}
+   */
+  public Optional<String> ownerOf(String key) {
+    List<Optional<String>> owners = wantedOwners;
+    return owners.isEmpty() ? Optional.empty() : owners.get(rangeOf(key));
+  }
+
+  /**
+   * Claims a key on this node, which should be its owner.
+   *
+   * @param key the idempotency key, told apart by service
+   * @param fingerprint tells the request from others with the same key, for example a digest
+   * @return what to do; never fails
+   */
+  public CompletionStage<ClaimDecision> claim(String key, String fingerprint) {
+    CompletableFuture<ClaimDecision> caller = new CompletableFuture<>();
+    if (!inbox.execute(() -> ranges.get(rangeOf(key)).claim(key, fingerprint, caller))) {
+      ClaimCallers.refuse(caller, ErrorCode.OVERLOADED);
+    }
+    return caller;
+  }
+
+  /**
+   * Records the answer of a call that {@link ClaimDecision.Run} let run.
+   *
+   * @param key the idempotency key
+   * @param answer the answer
+   * @return done when the answer is in the table service; fails when the range was lost before
+   */
+  public CompletionStage<Void> settle(String key, RecordedAnswer answer) {
+    CompletableFuture<Void> recorded = new CompletableFuture<>();
+    inbox.submit(() -> ranges.get(rangeOf(key)).settle(key, answer, recorded));
+    return recorded;
+  }
+
+  /**
+   * Frees the key of a call that {@link ClaimDecision.Run} let run and that certainly did not run.
+   *
+   * @param key the idempotency key
+   * @return done when this is in the table service; fails when the range was lost before
+   */
+  public CompletionStage<Void> release(String key) {
+    CompletableFuture<Void> recorded = new CompletableFuture<>();
+    inbox.submit(() -> ranges.get(rangeOf(key)).release(key, recorded));
+    return recorded;
+  }
+
+  /**
+   * Gives up on a call that {@link ClaimDecision.Run} let run and whose outcome will not be known.
+   * Its key stays taken and unsettled.
+   *
+   * @param key the idempotency key
+   */
+  public void leaveUnsettled(String key) {
+    inbox.submit(() -> ranges.get(rangeOf(key)).leaveUnsettled(key));
+  }
+
+  /** Does what is due. Called on the control thread several times a second. */
+  public void poll() {
+    inbox.drain();
+    Collection<String> alive = aliveNodeIds.get();
+    if (alive != lastAlive) {
+      lastAlive = alive;
+      wantedOwners = wantedOwners(alive);
+    }
+    boolean held = leaseHeld.getAsBoolean();
+    for (int i = 0; i < RANGE_COUNT; i++) {
+      boolean wanted =
+          !stopping && wantedOwners.get(i).filter(context.nodeId()::equals).isPresent();
+      ranges.get(i).poll(wanted, held);
+    }
+    if (stopping && ranges.stream().allMatch(ClaimRange::isUnowned)) {
+      stopped.complete(null);
+    }
+  }
+
+  private static List<Optional<String>> wantedOwners(Collection<String> alive) {
+    List<Optional<String>> owners = new ArrayList<>();
+    for (int i = 0; i < RANGE_COUNT; i++) {
+      owners.add(RendezvousHash.owner("claims/" + rangeName(i), alive));
+    }
+    return List.copyOf(owners);
+  }
+
+  /**
+   * Refuses new claims, lets running calls end and gives all ranges back. Called on the control
+   * thread; {@link #poll} goes on being called until the stage is done.
+   *
+   * @return done when no range is owned
+   */
+  public CompletionStage<Void> stop() {
+    stopping = true;
+    return stopped;
+  }
+
+  /** Returns the number of ranges that this node owns. Called on the control thread. */
+  public int ownedCount() {
+    return (int) ranges.stream().filter(ClaimRange::isOwned).count();
+  }
+
+  /** Returns the number of keys that this node remembers. Called on the control thread. */
+  public int keyCount() {
+    return ranges.stream().mapToInt(ClaimRange::keyCount).sum();
+  }
+
+  /** Builds a {@link ClaimService}. */
+  public static final class Builder {
+    String nodeId;
+    String writer;
+    TableStore table;
+    BooleanSupplier leaseHeld = () -> true;
+    Supplier<? extends Collection<String>> aliveNodeIds;
+    ControlInbox.ControlExecutor control;
+    LongSupplier clockMs;
+    LongSupplier epochClockMs = System::currentTimeMillis;
+    ClaimTimes times = ClaimTimes.DEFAULT;
+    ClaimLimits limits = ClaimLimits.DEFAULT;
+
+    private Builder() {}
+
+    /**
+     * Sets who claims.
+     *
+     * @param nodeId this node
+     * @param writer names this process and no other, past or future
+     * @return this builder
+     */
+    public Builder node(String nodeId, String writer) {
+      this.nodeId = nodeId;
+      this.writer = writer;
+      return this;
+    }
+
+    /**
+     * Sets the table service.
+     *
+     * @param table the table service
+     * @return this builder
+     */
+    public Builder table(TableStore table) {
+      this.table = table;
+      return this;
+    }
+
+    /**
+     * Sets whether this node holds its lease, without which it takes no range.
+     *
+     * @param leaseHeld asked on the control thread
+     * @return this builder
+     */
+    public Builder leaseHeld(BooleanSupplier leaseHeld) {
+      this.leaseHeld = leaseHeld;
+      return this;
+    }
+
+    /**
+     * Sets the nodes that are alive, this one included. A collection must not change; when the
+     * members change, another collection is supplied.
+     *
+     * @param aliveNodeIds asked on the control thread
+     * @return this builder
+     */
+    public Builder aliveNodeIds(Supplier<? extends Collection<String>> aliveNodeIds) {
+      this.aliveNodeIds = aliveNodeIds;
+      return this;
+    }
+
+    /**
+     * Sets the control thread.
+     *
+     * @param control hands commands to it
+     * @return this builder
+     */
+    public Builder control(ControlInbox.ControlExecutor control) {
+      this.control = control;
+      return this;
+    }
+
+    /**
+     * Sets the clocks.
+     *
+     * @param clockMs the monotonic time in milliseconds
+     * @param epochClockMs the time in milliseconds since the epoch
+     * @return this builder
+     */
+    public Builder clocks(LongSupplier clockMs, LongSupplier epochClockMs) {
+      this.clockMs = clockMs;
+      this.epochClockMs = epochClockMs;
+      return this;
+    }
+
+    /**
+     * Sets durations and bounds.
+     *
+     * @param times the durations
+     * @param limits the bounds of each range's ledger
+     * @return this builder
+     */
+    public Builder limits(ClaimTimes times, ClaimLimits limits) {
+      this.times = times;
+      this.limits = limits;
+      return this;
+    }
+
+    /** Returns the service, which does nothing until it is polled. */
+    public ClaimService build() {
+      Objects.requireNonNull(nodeId, "nodeId");
+      Objects.requireNonNull(writer, "writer");
+      Objects.requireNonNull(table, "table");
+      Objects.requireNonNull(aliveNodeIds, "aliveNodeIds");
+      Objects.requireNonNull(control, "control");
+      Objects.requireNonNull(clockMs, "clockMs");
+      return new ClaimService(this);
+    }
+  }
+}
