Run calls with an idempotency key through their owner's claim

Cause: bookings and lookups that are not idempotent must run at most once, whichever node they come to. Weighed: answering after the outcome is recorded (adds the write's linger to each booking) against answering at once: a crash in between leaves the key unsettled, which is honest, never run twice.

--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/CallerApi.java
@@ -0,0 +1,144 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.daemon.process.Metrics;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/** The caller port: completions and plain services, with or without an idempotency key. */
+public final class CallerApi {
+  private static final String COMPLETIONS = "/v1/completions";
+  private static final String CHAT = "/v1/chat/completions";
+
+  private final CompletionApi completions;
+  private final ServiceApi services;
+  private final KeyedCalls keyed;
+  private final Metrics metrics;
+  private final Router router;
+
+  /**
+   * Creates the interface.
+   *
+   * @param nodeId this node
+   * @param completions answers completions
+   * @param services passes calls on to plain services
+   * @param claims the claims of keyed calls
+   * @param peers forwards keyed calls to the nodes that own their keys
+   * @param metrics the node's metrics
+   */
+  CallerApi(
+      String nodeId,
+      CompletionApi completions,
+      ServiceApi services,
+      ClaimService claims,
+      PeerCalls peers,
+      Metrics metrics) {
+    this.completions = completions;
+    this.services = services;
+    this.metrics = metrics;
+    this.keyed = new KeyedCalls(nodeId, claims, peers, this::resolve);
+    this.router =
+        new Router()
+            .route(COMPLETIONS, Map.of("POST", (exchange, path) -> complete(exchange, false)))
+            .route(CHAT, Map.of("POST", (exchange, path) -> complete(exchange, true)))
+            .route(ServiceApi.PATH, Map.of("*", (exchange, path) -> callService(exchange)));
+  }
+
+  /** Returns the handler of the caller port. */
+  public HttpHandler handler() {
+    return router;
+  }
+
+  private void complete(HttpExchange exchange, boolean chat) {
+    if (KeyedCalls.keyOf(exchange) == null) {
+      completions.handle(exchange, chat);
+      return;
+    }
+    CompletionCall call = completions.parse(exchange, chat);
+    answer(
+        exchange,
+        "completions",
+        keyed
+            .run(exchange)
+            .thenAccept(
+                done -> {
+                  if (call.stream() && done.status() == 200) {
+                    streamWhole(exchange, call, done.json());
+                  } else {
+                    exchange.respond(done);
+                  }
+                }));
+  }
+
+  /** Sends a whole answer, which may be a recorded one, in the form of a stream. */
+  private static void streamWhole(HttpExchange exchange, CompletionCall call, JsonNode whole) {
+    JsonNode choice = whole.path("choices").path(0);
+    String text =
+        call.chat()
+            ? choice.path("message").path("content").asText()
+            : choice.path("text").asText();
+    StreamedCompletion stream = new StreamedCompletion(call, exchange);
+    JsonNode versions = whole.path("weight_versions");
+    for (int i = 0; i < versions.size(); i++) {
+      JsonNode span = versions.get(i);
+      int tokens = span.path("toToken").asInt() - span.path("fromToken").asInt();
+      stream.onTokens(i == 0 ? text : "", tokens, span.path("version").asLong());
+    }
+    stream.onFinished(choice.path("finish_reason").asText());
+  }
+
+  private void callService(HttpExchange exchange) {
+    CompletableFuture<HttpAnswer> run =
+        KeyedCalls.keyOf(exchange) == null ? services.run(exchange, false) : keyed.run(exchange);
+    answer(exchange, "services", run.thenAccept(exchange::respond));
+  }
+
+  private void answer(HttpExchange exchange, String api, CompletableFuture<Void> run) {
+    long startNanos = System.nanoTime();
+    run.whenComplete(
+        (done, failure) -> {
+          if (failure == null) {
+            metrics.onAnswered(api, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+          } else {
+            SycamoreException error = ErrorAnswers.toError(failure);
+            metrics.onRefused(error.outcome());
+            exchange.respond(ErrorAnswers.answer(error));
+          }
+        });
+  }
+
+  private KeyedOperation resolve(HttpExchange exchange) {
+    String key = KeyedCalls.keyOf(exchange);
+    String fingerprint =
+        DigestUtils.sha256Hex(
+            exchange.method()
+                + ' '
+                + exchange.target()
+                + '\n'
+                + DigestUtils.sha256Hex(exchange.body()));
+    return switch (exchange.path()) {
+      case COMPLETIONS -> completion(exchange, false, key, fingerprint);
+      case CHAT -> completion(exchange, true, key, fingerprint);
+      default ->
+          new KeyedOperation(
+              "services/" + ServiceApi.serviceOf(exchange) + '/' + key,
+              fingerprint,
+              () -> services.run(exchange, true));
+    };
+  }
+
+  private KeyedOperation completion(
+      HttpExchange exchange, boolean chat, String key, String fingerprint) {
+    CompletionCall call = completions.parse(exchange, chat);
+    return new KeyedOperation(
+        "completions/" + call.model() + '/' + key,
+        fingerprint,
+        () -> completions.runOnce(call, exchange));
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/CompletionApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/CompletionApi.java
@@ -1,8 +1,10 @@
 package org.sycamoretrack.daemon.request;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -12,6 +14,7 @@
 import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
+import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpExchange;
 
 /** Answers completion calls of the caller port, whole or streamed. */
@@ -40,25 +43,48 @@
     this.metrics = metrics;
   }
 
-  /** Answers a call. */
-  void handle(HttpExchange exchange, boolean chat) {
+  /** Reads a call and checks that its pool exists. */
+  CompletionCall parse(HttpExchange exchange, boolean chat) {
     CompletionCall call =
         CompletionCall.parse(requestId(exchange.headers()), chat, exchange.body());
     if (!isModelPool.test(call.model())) {
       throw new SycamoreException(
           ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no model pool " + call.model());
     }
+    return call;
+  }
+
+  /** Answers a call. */
+  void handle(HttpExchange exchange, boolean chat) {
+    CompletionCall call = parse(exchange, chat);
     CompletionAnswer answer =
         call.stream()
             ? new StreamedCompletion(call, exchange)
-            : new WholeCompletion(call, exchange);
+            : new WholeCompletion(call, exchange::respond);
     GenerationListener measured = new MeasuredGeneration(answer, metrics, "completions");
-    GenerationRequest request = request(call, exchange.headers());
+    GenerationRequest request = request(call, exchange.headers()).build();
     Generation generation = generator.generate(request, measured, exchange.eventLoop());
     exchange.onAbandoned(generation::cancel);
   }
 
-  private GenerationRequest request(CompletionCall call, HttpHeaders headers) {
+  /**
+   * Runs a call in one attempt.
+   *
+   * @param call the call
+   * @param exchange the exchange that brought it; it is not answered here
+   * @return the whole answer; fails with a {@link SycamoreException}
+   */
+  CompletableFuture<HttpAnswer> runOnce(CompletionCall call, HttpExchange exchange) {
+    CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+    WholeCompletion whole = new WholeCompletion(call, result::complete);
+    whole.onFailure(result::completeExceptionally);
+    GenerationRequest request = request(call, exchange.headers()).repeatable(false).build();
+    EventLoop loop = exchange.eventLoop();
+    loop.execute(() -> generator.generate(request, whole, loop));
+    return result;
+  }
+
+  private GenerationRequest.Builder request(CompletionCall call, HttpHeaders headers) {
     long deadlineMs = deadlineMs(headers, limits.defaultDeadlineMs());
     long seed = call.seed() == null ? ThreadLocalRandom.current().nextLong(1L << 53) : call.seed();
     return GenerationRequest.builder(call.id())
@@ -68,8 +94,7 @@
         .seed(seed)
         .requestClass(RequestClass.INTERACTIVE)
         .flow(headers.get("x-customer", ""))
-        .deadlineNanos(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs))
-        .build();
+        .deadlineNanos(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
   }
 
   /** Returns the time that a caller gives its request, in milliseconds. */
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/KeyedOperation.java
@@ -0,0 +1,16 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/**
+ * A call with an idempotency key.
+ *
+ * @param key the key, with the service or pool in it
+ * @param fingerprint tells the request from others with the same key
+ * @param run runs the call in one attempt; fails with a {@link
+ *     org.sycamoretrack.core.process.SycamoreException} that says whether it may have run
+ */
+record KeyedOperation(
+    String key, String fingerprint, Supplier<CompletableFuture<HttpAnswer>> run) {}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceApi.java
@@ -0,0 +1,121 @@
+package org.sycamoretrack.daemon.request;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.daemon.process.NodeLimits;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+
+/** Passes calls of the caller port on to plain services. */
+final class ServiceApi {
+  /** The paths of services: the service's name and the path that is passed on. */
+  static final String PATH = "/services/([^/]+)(/.*)?";
+
+  private static final Pattern PATTERN = Pattern.compile(PATH);
+
+  /** Headers that belong to a connection or to this interface and are not passed on. */
+  private static final Set<String> NOT_PASSED_ON =
+      Set.of(
+          "host",
+          "connection",
+          "keep-alive",
+          "transfer-encoding",
+          "content-length",
+          "te",
+          "trailer",
+          "upgrade",
+          "expect",
+          "x-deadline-ms",
+          "x-request-id",
+          "x-attempt");
+
+  private final ServiceCaller caller;
+  private final Supplier<Configuration> configuration;
+  private final NodeLimits limits;
+
+  ServiceApi(ServiceCaller caller, Supplier<Configuration> configuration, NodeLimits limits) {
+    this.caller = caller;
+    this.configuration = configuration;
+    this.limits = limits;
+  }
+
+  /** Returns the name of the service that a call is for. */
+  static String serviceOf(HttpExchange exchange) {
+    return match(exchange).group(1);
+  }
+
+  private static Matcher match(HttpExchange exchange) {
+    Matcher matcher = PATTERN.matcher(exchange.path());
+    if (!matcher.matches()) {
+      throw new SycamoreException(
+          ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no such path: " + exchange.path());
+    }
+    return matcher;
+  }
+
+  /**
+   * Sends a call on.
+   *
+   * @param exchange the call; it is not answered here
+   * @param claimed whether the call holds a claim and so runs in one attempt
+   * @return the endpoint's answer
+   */
+  CompletableFuture<HttpAnswer> run(HttpExchange exchange, boolean claimed) {
+    Matcher path = match(exchange);
+    ResourceSpec.ServiceSpec service = configuration.get().services().get(path.group(1));
+    if (service == null) {
+      throw new SycamoreException(
+          ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no service " + path.group(1));
+    }
+    HttpHeaders headers = exchange.headers();
+    long deadlineMs = CompletionApi.deadlineMs(headers, limits.defaultDeadlineMs());
+    ServiceCall call =
+        new ServiceCall(
+            CompletionApi.requestId(headers),
+            service.pool(),
+            exchange.method(),
+            target(exchange, path),
+            passedOn(headers),
+            exchange.body(),
+            !claimed && service.repeatableMethods().contains(exchange.method()),
+            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMs));
+    return caller.call(call).thenApply(ServiceApi::withoutConnectionHeaders);
+  }
+
+  private static String target(HttpExchange exchange, Matcher path) {
+    String rest = path.group(2) == null ? "/" : path.group(2);
+    int query = exchange.target().indexOf('?');
+    return query < 0 ? rest : rest + exchange.target().substring(query);
+  }
+
+  private static Map<String, String> passedOn(HttpHeaders headers) {
+    Map<String, String> result = new HashMap<>();
+    headers.forEach(
+        header -> {
+          String name = header.getKey().toLowerCase(Locale.ROOT);
+          if (!NOT_PASSED_ON.contains(name)) {
+            result.put(name, header.getValue());
+          }
+        });
+    return result;
+  }
+
+  private static HttpAnswer withoutConnectionHeaders(HttpAnswer answer) {
+    Map<String, String> headers = new HashMap<>(answer.headers());
+    headers.keySet().removeAll(NOT_PASSED_ON);
+    return new HttpAnswer(answer.status(), headers, answer.body());
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/WholeCompletion.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/WholeCompletion.java
@@ -1,19 +1,33 @@
 package org.sycamoretrack.daemon.request;
 
+import java.util.function.Consumer;
+import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.VersionSpans;
 import org.sycamoretrack.transport.request.HttpAnswer;
-import org.sycamoretrack.transport.request.HttpExchange;
 
 /** An answer that is sent when it is whole. Confined to the event loop of its call. */
 final class WholeCompletion implements CompletionAnswer {
   private final CompletionCall call;
-  private final HttpExchange exchange;
+  private final Consumer<HttpAnswer> answered;
+  private Consumer<SycamoreException> failed;
   private final StringBuilder text = new StringBuilder();
   private final VersionSpans spans = new VersionSpans();
 
-  WholeCompletion(CompletionCall call, HttpExchange exchange) {
+  /**
+   * Creates an answer.
+   *
+   * @param call the call
+   * @param answered gets the whole answer; errors too, unless {@link #onFailure} is set
+   */
+  WholeCompletion(CompletionCall call, Consumer<HttpAnswer> answered) {
     this.call = call;
-    this.exchange = exchange;
+    this.answered = answered;
+    this.failed = error -> answered.accept(ErrorAnswers.answer(error));
+  }
+
+  /** Sets who gets the error of a call that failed. */
+  void onFailure(Consumer<SycamoreException> listener) {
+    failed = listener;
   }
 
   @Override
@@ -24,12 +38,12 @@
 
   @Override
   public void onFinished(String finishReason) {
-    exchange.respond(
+    answered.accept(
         HttpAnswer.json(200, call.answer(text.toString(), finishReason, spans.toList())));
   }
 
   @Override
   public void onFailed(GenerationFailure failure) {
-    exchange.respond(ErrorAnswers.answer(failure.toException()));
+    failed.accept(failure.toException());
   }
 }
