--- a/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerLink.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerLink.java
@@ -217,6 +217,15 @@
     return peer != null && peer.isWritable();
   }
 
+  /**
+   * Returns whether messages can be sent to a node and answers can come back from it.
+   *
+   * @param nodeId the node
+   */
+  public boolean isPaired(String nodeId) {
+    return isWritable(nodeId) && inbound.containsKey(nodeId);
+  }
+
   /** Returns the ids of the nodes that messages can be sent to. */
   public Set<String> connectedPeers() {
     return Set.copyOf(outbound.keySet());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Stopwatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Waiting.java
@@ -5,10 +5,10 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits for a condition within a time. */
-final class Stopwatch {
+final class Waiting {
   private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
-  private Stopwatch() {}
+  private Waiting() {}
 
   /**
    * Waits until a condition holds.
@@ -17,7 +17,7 @@
    * @param condition the condition
    * @return whether it held in time
    */
-  static boolean await(long timeoutMs, BooleanSupplier condition) {
+  static boolean until(long timeoutMs, BooleanSupplier condition) {
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() - deadlineNanos >= 0) {
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
@@ -0,0 +1,372 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.RendezvousHash;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.PoolType;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.daemon.connection.EndpointLoadCodec;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.process.Metrics;
+import org.sycamoretrack.daemon.process.NodeLimits;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * All that a node needs to carry requests: the parts from the caller and trainer ports to the
+ * endpoints, wired together.
+ *
+ * <p>{@link #refresh} is called on the control thread several times a second; it publishes the
+ * {@link RoutingTable} that the traffic threads read.
+ */
+public final class RequestPath {
+  private final Builder parts;
+  private final PoisonGuard poison;
+  private final EndpointDirectory endpoints;
+  private final EndpointHealth health;
+  private final PeerLoads peerLoads = new PeerLoads();
+  private final RouteBuilder routeBuilder;
+  private final PeerWork peerWork;
+  private final StepRegistry steps;
+  private final TrainerApi trainerApi;
+  private final CallerApi callerApi;
+  private volatile RoutingTable routes = RoutingTable.EMPTY;
+  private volatile boolean accepting = true;
+
+  private RequestPath(Builder parts) {
+    this.parts = parts;
+    this.poison = new PoisonGuard(parts.nodeId);
+    this.endpoints =
+        new EndpointDirectory(parts.loops, parts.engines, poison, parts.limits, parts.metrics);
+    this.health = new EndpointHealth(parts.engines);
+    this.routeBuilder =
+        new RouteBuilder(parts.nodeId, endpoints, health, peerLoads, parts.outOfService);
+    this.peerWork = new PeerWork(parts.link, endpoints, () -> accepting);
+    PeerCalls peerCalls = new PeerCalls(parts.link, parts.loops);
+    Dispatcher dispatcher =
+        new Dispatcher(
+            parts.zone,
+            () -> routes,
+            new OwnerGateway(parts.nodeId, parts.link::isPaired, peerWork, endpoints));
+    ServiceCaller services = new ServiceCaller(parts.zone, parts.client, () -> routes);
+    this.steps = stepRegistry(dispatcher, services);
+    this.trainerApi = new TrainerApi(parts.nodeId, steps, peerCalls, this::ownerInZone);
+    this.callerApi =
+        new CallerApi(
+            parts.nodeId,
+            new CompletionApi(dispatcher, this::isModelPool, parts.limits, parts.metrics),
+            new ServiceApi(services, parts.configuration, parts.limits),
+            parts.claims,
+            peerCalls,
+            parts.metrics);
+    sharePoison();
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  private StepRegistry stepRegistry(Dispatcher dispatcher, ServiceCaller services) {
+    StepServices shared =
+        new StepServices(
+            dispatcher,
+            new HttpScorer(services, parts.configuration),
+            parts.sampleSink,
+            () -> routes,
+            this::plan,
+            new SampleMemory(parts.limits.maxUndeliveredBytes()),
+            parts.metrics);
+    return new StepRegistry(shared, parts.loops, parts.limits.maxOpenSteps(), parts.restore);
+  }
+
+  private void sharePoison() {
+    poison.onCharge(
+        charge -> {
+          PoisonMessage message = new PoisonMessage(charge.fingerprint(), charge.deathId());
+          parts.link.connectedPeers().forEach(peer -> parts.link.send(peer, message));
+        });
+    parts.link.onMessage(
+        PoisonMessage.TYPE,
+        PoisonMessage::read,
+        (from, message) -> poison.merge(message.fingerprint(), message.deathId()));
+  }
+
+  private boolean isModelPool(String pool) {
+    ResourceSpec.PoolSpec spec = parts.configuration.get().pools().get(pool);
+    return spec != null && spec.type() == PoolType.MODEL;
+  }
+
+  private Optional<TrackPlan> plan(String track) {
+    Configuration configuration = parts.configuration.get();
+    ResourceSpec.TrackSpec spec = configuration.tracks().get(track);
+    if (spec == null) {
+      return Optional.empty();
+    }
+    List<String> pools = configuration.poolsOf(spec.trainerGroup());
+    return Optional.of(new TrackPlan(pools, spec.maxVersionLag(), spec.scorer()));
+  }
+
+  private Optional<String> ownerInZone(String key) {
+    return RendezvousHash.owner(key, parts.members.get().aliveIds(parts.zone));
+  }
+
+  /** Publishes a new routing table. Called on the control thread. */
+  public void refresh() {
+    routes = routeBuilder.build(parts.configuration.get(), parts.members.get());
+  }
+
+  /** Asks the engines that this node looks after for their reports. On the control thread. */
+  public void pollEngines() {
+    health.poll(routeBuilder.ownTargets());
+  }
+
+  /** Closes steps that nobody polls here any more. */
+  public void closeAbandonedSteps() {
+    steps.closeAbandoned(id -> ownerInZone(id.key()).filter(parts.nodeId::equals).isPresent());
+  }
+
+  /** Returns the loads of the engines that this node looks after, for its gossip. */
+  public byte[] loadPayload() {
+    return EndpointLoadCodec.encode(routeBuilder.ownLoads());
+  }
+
+  /** Takes over the loads that another node told. */
+  public void onLoadPayload(String nodeId, byte[] payload) {
+    peerLoads.onPayload(nodeId, payload);
+  }
+
+  /** Returns what endpoints and the platform say about endpoints. */
+  public EndpointHealth health() {
+    return health;
+  }
+
+  /** Returns the newest routing table. */
+  public RoutingTable routes() {
+    return routes;
+  }
+
+  /** Returns the handler of the caller port. */
+  public HttpHandler callerHandler() {
+    return callerApi.handler();
+  }
+
+  /** Returns the handler of the trainer port. */
+  public HttpHandler trainerHandler() {
+    return trainerApi.handler();
+  }
+
+  /** Refuses new work from other nodes, which know by now that this one is leaving. */
+  public void stopAccepting() {
+    accepting = false;
+  }
+
+  /** Closes the steps that this node owns and answers their polls. */
+  public void closeSteps() {
+    steps.closeAll();
+  }
+
+  /** Returns the number of attempts that this node runs for others. */
+  public int peerWorkCount() {
+    return peerWork.receivedCount();
+  }
+
+  /** Returns the number of open steps. */
+  public int stepCount() {
+    return steps.size();
+  }
+
+  /** Returns the state of endpoints, steps and quarantine for the state dump. */
+  public CompletionStage<ObjectNode> dump() {
+    ObjectNode state = Json.object();
+    ArrayNode list = state.putArray("endpoints");
+    routes.all().forEach(route -> list.add(dump(route)));
+    state.set("quarantined", Json.mapper().valueToTree(poison.quarantined()));
+    state.put("sentToPeers", peerWork.sentCount());
+    state.put("runForPeers", peerWork.receivedCount());
+    state.put("hostListAgeMs", health.hostListAgeMs());
+    return steps
+        .dump()
+        .thenApply(
+            dumped -> {
+              state.set("steps", dumped);
+              return state;
+            });
+  }
+
+  /**
+   * Returns whether an endpoint gets new work, loads of weights left aside.
+   *
+   * @param route the endpoint
+   */
+  public boolean isInServiceButForLoads(Route route) {
+    String name = route.target().name();
+    EndpointHealth.Report report = health.report(name);
+    return !parts.configuration.get().drainedEndpoints().contains(name)
+        && !health.isLeavingHost(route.target())
+        && !report.leaving()
+        && report.isReachable();
+  }
+
+  private ObjectNode dump(Route route) {
+    String name = route.target().name();
+    EndpointHealth.Report report = health.report(name);
+    return Json.object()
+        .put("name", name)
+        .put("pool", route.target().pool())
+        .put("zone", route.target().zone())
+        .put("owner", route.ownerNodeId())
+        .put("inService", route.view().inService())
+        .put("outOfServiceBy", outOfServiceBy(route, report))
+        .put("inFlight", route.view().inFlight())
+        .put("limit", route.view().limit())
+        .put("queuedTokens", route.view().queuedTokens())
+        .put("timeToFirstTokenMs", route.view().timeToFirstTokenMs())
+        .put("timePerTokenMs", route.view().timePerTokenMs())
+        .put("ejection", route.view().ejection().toString())
+        .put("servedVersion", route.view().servedVersion());
+  }
+
+  private String outOfServiceBy(Route route, EndpointHealth.Report report) {
+    String name = route.target().name();
+    if (route.view().inService()) {
+      return null;
+    }
+    if (parts.configuration.get().drainedEndpoints().contains(name)) {
+      return "drain";
+    }
+    if (health.isLeavingHost(route.target())) {
+      return "host-list";
+    }
+    if (parts.outOfService.test(name)) {
+      return "weight-rollout";
+    }
+    return report.isReachable() ? "endpoint" : "not-reachable";
+  }
+
+  /** Builds a {@link RequestPath}. All parts must be set. */
+  public static final class Builder {
+    private String nodeId;
+    private String zone;
+    private NodeLimits limits;
+    private EventLoopGroup loops;
+    private HttpClient client;
+    private EngineClient engines;
+    private PeerLink link;
+    private Supplier<Configuration> configuration;
+    private Supplier<MembershipView> members;
+    private ClaimService claims;
+    private Metrics metrics;
+    private RouteBuilder.OutOfService outOfService = endpoint -> false;
+    private SampleSink sampleSink = SampleSink.NONE;
+    private Function<StepId, CompletionStage<List<Sample>>> restore =
+        step -> CompletableFuture.completedFuture(List.of());
+
+    private Builder() {}
+
+    /**
+     * Sets who this node is.
+     *
+     * @param nodeId its id
+     * @param zone its zone
+     * @param limits its limits
+     * @return this builder
+     */
+    public Builder node(String nodeId, String zone, NodeLimits limits) {
+      this.nodeId = nodeId;
+      this.zone = zone;
+      this.limits = limits;
+      return this;
+    }
+
+    /**
+     * Sets what carries traffic.
+     *
+     * @param loops the event loops
+     * @param client the HTTP client on them
+     * @param engines calls model engines
+     * @param link the peer link
+     * @return this builder
+     */
+    public Builder traffic(
+        EventLoopGroup loops, HttpClient client, EngineClient engines, PeerLink link) {
+      this.loops = loops;
+      this.client = client;
+      this.engines = engines;
+      this.link = link;
+      return this;
+    }
+
+    /**
+     * Sets where the newest snapshots of the control state are.
+     *
+     * @param configuration the configuration in force
+     * @param members the members
+     * @param outOfService which endpoints are taken out of service
+     * @return this builder
+     */
+    public Builder control(
+        Supplier<Configuration> configuration,
+        Supplier<MembershipView> members,
+        RouteBuilder.OutOfService outOfService) {
+      this.configuration = configuration;
+      this.members = members;
+      this.outOfService = outOfService;
+      return this;
+    }
+
+    /**
+     * Sets the claims of keyed calls.
+     *
+     * @param claims the claims
+     * @return this builder
+     */
+    public Builder claims(ClaimService claims) {
+      this.claims = claims;
+      return this;
+    }
+
+    /**
+     * Sets where finished samples are noted and read back.
+     *
+     * @param sink takes note of them
+     * @param restore reads what an earlier owner of a step had finished
+     * @return this builder
+     */
+    public Builder samples(
+        SampleSink sink, Function<StepId, CompletionStage<List<Sample>>> restore) {
+      this.sampleSink = sink;
+      this.restore = restore;
+      return this;
+    }
+
+    /**
+     * Sets the metrics.
+     *
+     * @param metrics the node's metrics
+     * @return this builder
+     */
+    public Builder metrics(Metrics metrics) {
+      this.metrics = metrics;
+      return this;
+    }
+
+    /** Returns the wired parts. */
+    public RequestPath build() {
+      return new RequestPath(this);
+    }
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/RouteBuilder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RouteBuilder.java
@@ -204,7 +204,8 @@
     for (EndpointTarget target : ownTargets()) {
       EndpointHealth.Report report = health.report(target.name());
       EndpointView view = local(endpoints.worker(target.name()), target, report).build();
-      boolean leaving = report.leaving() || !report.isReachable();
+      boolean leaving =
+          report.leaving() || !report.isReachable() || outOfService.test(target.name());
       loads.add(EndpointLoad.of(view, leaving, view.servedVersion()));
     }
     return loads;
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/StepRunnerTest.java
@@ -0,0 +1,163 @@
+package org.sycamoretrack.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.core.request.GroupSpec;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.SlotBitmap;
+import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.request.VersionSpan;
+import org.sycamoretrack.standins.process.EngineSettings;
+import org.sycamoretrack.standins.request.Generation;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** Tests of {@link StepRunner} with a trainer that loses answers and engines that crash. */
+@Timeout(60)
+class StepRunnerTest {
+  private static final StepSpec SPEC =
+      new StepSpec(
+          new StepId("track", 4),
+          7,
+          200,
+          List.of(new GroupSpec("a", 24, 1), new GroupSpec("b", 24, 2)));
+
+  private static StepServices services(EngineFixture fixture) {
+    TrackPlan plan = new TrackPlan(List.of(EngineFixture.POOL), 1, null);
+    return new StepServices(
+        fixture.dispatcher,
+        (service, spec, sample) -> CompletableFuture.completedFuture(0.5),
+        SampleSink.NONE,
+        fixture::routes,
+        track -> Optional.of(plan),
+        new SampleMemory(1 << 20),
+        fixture.metrics);
+  }
+
+  private static StepRunner start(EngineFixture fixture, List<Sample> restored) {
+    StepRunner runner =
+        new StepRunner(
+            SPEC,
+            new TrackPlan(List.of(EngineFixture.POOL), 1, null),
+            services(fixture),
+            fixture.loops.next());
+    runner.loop().execute(() -> runner.start(restored));
+    return runner;
+  }
+
+  private static CompletableFuture<HttpAnswer> poll(
+      StepRunner runner, SlotBitmap received, long trainsVersion) {
+    ObjectNode body =
+        Json.object()
+            .put("received", Base64.getEncoder().encodeToString(received.toBytes()))
+            .put("trainsVersion", trainsVersion)
+            .put("waitMs", 2_000)
+            .put("maxSamples", 16);
+    CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+    CallMessage.Request request =
+        new CallMessage.Request(
+            1, "trainer", "POST", "/poll", new DefaultHttpHeaders(), Json.bytes(body));
+    ForwardedExchange exchange = new ForwardedExchange(request, runner.loop(), answer::complete);
+    runner
+        .loop()
+        .execute(() -> Router.handleSafely(call -> runner.poll(Json.bytes(body), call), exchange));
+    return answer;
+  }
+
+  private static void check(JsonNode sample) {
+    int slot = sample.path("slot").asInt();
+    Generation whole =
+        new Generation(SPEC.promptOf(slot), SPEC.seedOf(slot), EngineFixture.MEDIAN_TOKENS);
+    assertThat(sample.path("text").asText())
+        .isEqualTo(whole.text(Math.min(SPEC.maxTokens(), whole.naturalTokens())));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void everySlotComesOnceThoughAnswersAreLostAndAnEngineCrashes(long seed) throws Exception {
+    Random random = new Random(seed);
+    try (EngineFixture fixture = new EngineFixture(3, EngineSettings.builder().tokens(1_000, 2))) {
+      StepRunner runner = start(fixture, List.of());
+      SlotBitmap received = SlotBitmap.empty();
+      Map<Integer, JsonNode> taken = new TreeMap<>();
+      boolean complete = false;
+      boolean crashed = false;
+      while (!complete) {
+        CompletableFuture<HttpAnswer> answer = poll(runner, received, 7);
+        if (random.nextInt(4) == 0) {
+          continue;
+        }
+        JsonNode body = answer.get(10, TimeUnit.SECONDS).json();
+        if (random.nextInt(4) == 0) {
+          continue;
+        }
+        for (JsonNode sample : body.path("samples")) {
+          assertThat(taken.put(sample.path("slot").asInt(), sample)).isNull();
+          received = received.with(sample.path("slot").asInt());
+          check(sample);
+        }
+        complete = body.path("complete").asBoolean();
+        if (!crashed && taken.size() > 4) {
+          crashed = true;
+          fixture.engines.get(0).crash().join();
+        }
+      }
+      assertThat(taken).hasSize(SPEC.slots());
+      runner.loop().submit(runner::close).sync();
+    }
+  }
+
+  @Test
+  void whatAnEarlierOwnerFinishedIsNotMadeAgain() throws Exception {
+    try (EngineFixture fixture = new EngineFixture(1, EngineSettings.builder().tokens(200, 8))) {
+      Sample restored =
+          new Sample(5, "restored", 1, "stop", 1, null, List.of(new VersionSpan(7, 0, 1)));
+      StepRunner runner = start(fixture, List.of(restored));
+      JsonNode body = poll(runner, SlotBitmap.empty(), 7).get(5, TimeUnit.SECONDS).json();
+      assertThat(body.path("samples"))
+          .anySatisfy(sample -> assertThat(sample.path("text").asText()).isEqualTo("restored"));
+      runner.loop().submit(runner::close).sync();
+    }
+  }
+
+  @Test
+  void aSampleThatBecameTooOldIsNeverDelivered() throws Exception {
+    try (EngineFixture fixture = new EngineFixture(1, EngineSettings.builder().tokens(200, 8))) {
+      Sample old = new Sample(5, "old", 1, "stop", 1, null, List.of(new VersionSpan(5, 0, 1)));
+      StepRunner runner = start(fixture, List.of(old));
+      JsonNode body = poll(runner, SlotBitmap.empty(), 7).get(5, TimeUnit.SECONDS).json();
+      assertThat(body.path("samples"))
+          .isNotEmpty()
+          .noneSatisfy(sample -> assertThat(sample.path("text").asText()).isEqualTo("old"));
+      runner.loop().submit(runner::close).sync();
+    }
+  }
+
+  @Test
+  void anOlderPollIsEndedByANewerOne() throws Exception {
+    try (EngineFixture fixture = new EngineFixture(1, EngineSettings.builder().tokens(50_000, 1))) {
+      StepRunner runner = start(fixture, List.of());
+      CompletableFuture<HttpAnswer> older = poll(runner, SlotBitmap.empty(), 7);
+      CompletableFuture<HttpAnswer> newer = poll(runner, SlotBitmap.empty(), 7);
+      assertThat(older.get(1, TimeUnit.SECONDS).json().path("samples")).isEmpty();
+      assertThat(newer.get(5, TimeUnit.SECONDS).status()).isEqualTo(200);
+      runner.loop().submit(runner::close).sync();
+    }
+  }
+}
