Roll weights out to the engines of each pool and zone

One node owns the engines of a pool in a zone. It takes an epoch in the table service, which is the fencing number of its orders, and carries out the planner's commands; other nodes only read the engines that they look after.

The epoch hangs on the node's lease, with one write at a change of hands in place of one every few seconds for each group: the row names the holder's lease epoch, and is taken from another holder only once that lease was given back, replaced, or ended after it was watched for its whole duration and the pause margin. For engines that ignore fencing numbers a new holder waits another pause margin, in which orders on their way arrive or time out. The lease and the clock are looked at once more immediately before each order.

--- a/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
@@ -49,8 +49,9 @@
    * @param inService whether it gets new work, leaving loads aside: it is not drained, leaving or
    *     ejected
    * @param inFlight its requests in flight
+   * @param followed whether this node reads the engine; all are, where it may order
    */
-  public record Engine(String name, boolean inService, int inFlight) {}
+  public record Engine(String name, boolean inService, int inFlight, boolean followed) {}
 
   /**
    * What a plan is made from.
@@ -59,7 +60,7 @@
    * @param epoch the fencing number of orders, 0 when no order may be given
    * @param ordersPerSecond the limit set by the weight store, over 0
    * @param floorShare the share of engines that stay in service, 0 to 1
-   * @param engines all engines of the group
+   * @param engines all engines of the group, also those that are not followed
    */
   public record Situation(
       long targetVersion,
@@ -132,11 +133,10 @@
     loadsInPlace = floorAllowance(situation) == 0;
     budget.refill(situation.ordersPerSecond(), nowMs);
     List<Command> commands = new ArrayList<>();
-    for (Map.Entry<String, RolloutEndpoint> entry : endpoints.entrySet()) {
-      RolloutEndpoint endpoint = entry.getValue();
-      endpoint.checkTimeout(nowMs);
-      if (endpoint.beginRead(nowMs)) {
-        commands.add(new Command.Read(entry.getKey()));
+    for (Engine engine : situation.engines()) {
+      endpoint(engine).checkTimeout(nowMs);
+      if (engine.followed() && endpoint(engine).beginRead(nowMs)) {
+        commands.add(new Command.Read(engine.name()));
       }
     }
     if (situation.epoch() > 0 && situation.targetVersion() != UNKNOWN_VERSION) {
--- a/core/src/test/java/org/sycamoretrack/core/version/WeightRolloutTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/version/WeightRolloutTest.java
@@ -99,7 +99,7 @@
     engines.values().forEach(engine -> engine.advance(nowMs));
     List<WeightRollout.Engine> seen =
         engines.keySet().stream()
-            .map(name -> new WeightRollout.Engine(name, !drained.contains(name), 0))
+            .map(name -> new WeightRollout.Engine(name, !drained.contains(name), 0, true))
             .toList();
     WeightRollout.Situation situation =
         new WeightRollout.Situation(target, epoch, ordersPerSecond, floorShare, seen);
@@ -295,7 +295,7 @@
     addEngines(1);
     WeightRollout.Situation situation =
         new WeightRollout.Situation(
-            2, 1, 100, 0, List.of(new WeightRollout.Engine("e10", true, 0)));
+            2, 1, 100, 0, List.of(new WeightRollout.Engine("e10", true, 0, true)));
     rollout.plan(situation, 0);
     rollout.onRead("e10", 1, WeightRollout.UNKNOWN_VERSION, 0);
     assertThat(rollout.plan(situation, 20)).contains(new Command.Order("e10", 2, 1));
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
@@ -0,0 +1,180 @@
+package org.sycamoretrack.daemon.version;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.core.version.RolloutStatus;
+import org.sycamoretrack.core.version.WeightRollout;
+import org.sycamoretrack.core.version.WeightRollout.Command;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.process.ControlInbox;
+import org.sycamoretrack.daemon.process.LogEvent;
+
+/**
+ * Carries out the plan of one group's rollout. Confined to the control thread.
+ *
+ * <p>A plan is made with the epoch as it is then; the clock and the lease are looked at once more
+ * immediately before each order is sent, since the thread may have been paused in between.
+ */
+final class GroupRollout {
+  private static final System.Logger LOG = System.getLogger(GroupRollout.class.getName());
+
+  /** What a group is now: its pool, its engines and the limits of its rollout. */
+  record Scope(
+      ResourceSpec.PoolSpec pool,
+      Map<String, InetSocketAddress> addresses,
+      double ordersPerSecond) {}
+
+  private final RolloutGroup group;
+  private final String nodeId;
+  private final OrderAuthority authority;
+  private final WeightRollout rollout;
+  private final EngineClient engines;
+  private final ControlInbox inbox;
+  private final LongSupplier nowMs;
+  private int ordersUnderWay;
+  private long calls;
+  private Scope scope;
+
+  GroupRollout(
+      RolloutGroup group,
+      String nodeId,
+      OrderAuthority authority,
+      WeightRollout rollout,
+      EngineClient engines,
+      ControlInbox inbox,
+      LongSupplier nowMs) {
+    this.group = group;
+    this.nodeId = nodeId;
+    this.authority = authority;
+    this.rollout = rollout;
+    this.engines = engines;
+    this.inbox = inbox;
+    this.nowMs = nowMs;
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param current the group as it is configured now
+   * @param surroundings what else there is
+   * @param targetVersion the version to bring the engines to
+   */
+  void poll(Scope current, RolloutSurroundings surroundings, long targetVersion) {
+    scope = current;
+    boolean owns = surroundings.owns(group);
+    authority.poll(owns, ordersUnderWay > 0);
+    long epoch = owns ? epoch() : 0;
+    List<WeightRollout.Engine> members =
+        current.addresses().keySet().stream()
+            .map(name -> engine(name, owns, surroundings))
+            .toList();
+    WeightRollout.Situation situation =
+        new WeightRollout.Situation(
+            targetVersion, epoch, current.ordersPerSecond(), current.pool().floorShare(), members);
+    rollout.plan(situation, nowMs.getAsLong()).forEach(this::carryOut);
+  }
+
+  private static WeightRollout.Engine engine(
+      String name, boolean owns, RolloutSurroundings surroundings) {
+    return new WeightRollout.Engine(
+        name,
+        surroundings.isInService(name),
+        surroundings.inFlight(name),
+        owns || surroundings.looksAfter(name));
+  }
+
+  private long epoch() {
+    return authority.epoch(scope.pool().checksFence());
+  }
+
+  private void carryOut(Command command) {
+    InetSocketAddress address = scope.addresses().get(command.endpoint());
+    switch (command) {
+      case Command.Read read -> read(read.endpoint(), address);
+      case Command.Probe probe -> probe(probe.endpoint(), address);
+      case Command.Order order -> order(order, address);
+    }
+  }
+
+  private void read(String endpoint, InetSocketAddress address) {
+    inbox.onResult(
+        engines.weights(address),
+        (weights, failure) -> {
+          if (failure == null) {
+            authority.onFenceSeen(weights.fence());
+            rollout.onRead(endpoint, weights.version(), weights.loading(), nowMs.getAsLong());
+          } else {
+            rollout.onReadFailed(endpoint, nowMs.getAsLong());
+          }
+        });
+  }
+
+  private void probe(String endpoint, InetSocketAddress address) {
+    inbox.onResult(
+        VersionProbe.send(engines, address, scope.pool().model(), callId("weight-probe")),
+        (version, failure) -> {
+          if (failure == null) {
+            rollout.onProbed(endpoint, version, nowMs.getAsLong());
+          } else {
+            rollout.onProbeFailed(endpoint, nowMs.getAsLong());
+          }
+        });
+  }
+
+  private String callId(String kind) {
+    calls++;
+    return kind + "/" + nodeId + "/" + group.key() + "/" + calls;
+  }
+
+  private void order(Command.Order order, InetSocketAddress address) {
+    EngineClient.LoadOrder message =
+        new EngineClient.LoadOrder(callId("weight-order"), order.version(), order.epoch(), nodeId);
+    if (epoch() != order.epoch()) {
+      rollout.onOrderDropped(order.endpoint());
+      log("weight-order-dropped", order);
+      return;
+    }
+    ordersUnderWay++;
+    inbox.onResult(
+        engines.order(address, message), (answer, failure) -> onOrderAnswer(order, answer));
+    log("weight-order-sent", order);
+  }
+
+  private void onOrderAnswer(Command.Order order, EngineClient.OrderAnswer answer) {
+    ordersUnderWay--;
+    rollout.onOrderSettled(order.endpoint(), nowMs.getAsLong());
+    if (answer == EngineClient.OrderAnswer.STALE_FENCE) {
+      authority.lose();
+    }
+  }
+
+  private static void log(String name, Command.Order order) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of(name)
+            .with("endpoint", order.endpoint())
+            .with("version", order.version())
+            .with("epoch", order.epoch()));
+  }
+
+  /** Takes the version of a chunk of ordinary traffic. */
+  void onChunk(String endpoint, long version) {
+    rollout.onChunk(endpoint, version);
+  }
+
+  /** Returns what is known of the engines that were read. */
+  Map<String, RolloutStatus> statuses() {
+    return rollout.statuses().stream()
+        .filter(status -> status.servedVersion() != WeightRollout.UNKNOWN_VERSION)
+        .collect(Collectors.toMap(RolloutStatus::endpoint, status -> status));
+  }
+
+  /** Returns the group as this node holds it. */
+  RolloutView.OwnedGroup view() {
+    return new RolloutView.OwnedGroup(group, epoch(), rollout.isLoading());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/VersionProbe.java
@@ -0,0 +1,58 @@
+package org.sycamoretrack.daemon.version;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sycamoretrack.daemon.platform.CompletionRequest;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.platform.EngineFailure;
+import org.sycamoretrack.daemon.platform.EngineListener;
+
+/** Generates one token to see which version of the weights makes it. */
+final class VersionProbe implements EngineListener {
+  private static final String PROMPT = "weight version";
+  private static final int TIMEOUT_MS = 2_000;
+
+  private final CompletableFuture<Long> result = new CompletableFuture<>();
+  private long version;
+
+  private VersionProbe() {}
+
+  /**
+   * Sends a probe.
+   *
+   * @param engines calls the engine
+   * @param address the engine
+   * @param model its model
+   * @param requestId names the probe
+   * @return the version
+   */
+  static CompletionStage<Long> send(
+      EngineClient engines, InetSocketAddress address, String model, String requestId) {
+    VersionProbe probe = new VersionProbe();
+    CompletionRequest request =
+        CompletionRequest.builder(requestId)
+            .model(model)
+            .prompt(PROMPT)
+            .maxTokens(1)
+            .timeoutMs(TIMEOUT_MS)
+            .build();
+    engines.complete(address, request, null, probe);
+    return probe.result;
+  }
+
+  @Override
+  public void onTokens(String text, int tokens, long weightVersion) {
+    version = weightVersion;
+  }
+
+  @Override
+  public void onFinished(String finishReason) {
+    result.complete(version);
+  }
+
+  @Override
+  public void onFailed(EngineFailure failure) {
+    result.completeExceptionally(failure.toException());
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeEngines.java
@@ -0,0 +1,80 @@
+package org.sycamoretrack.daemon.version;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
+import org.sycamoretrack.daemon.platform.CompletionRequest;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.platform.EngineListener;
+import org.sycamoretrack.transport.request.HttpCall;
+
+/** Engines that answer at once and load at once, and note who ordered what and when. */
+final class FakeEngines implements EngineClient {
+  /** An order that was accepted. */
+  record Accepted(LoadOrder order, long atMs) {}
+
+  final List<Accepted> accepted = new ArrayList<>();
+  private final Map<Integer, Long> versions = new TreeMap<>();
+  private final Map<Integer, Long> fences = new TreeMap<>();
+  private final boolean checksFence;
+  private final LongSupplier nowMs;
+
+  FakeEngines(boolean checksFence, LongSupplier nowMs) {
+    this.checksFence = checksFence;
+    this.nowMs = nowMs;
+  }
+
+  long version(int port) {
+    return versions.getOrDefault(port, 1L);
+  }
+
+  void setFence(int port, long fence) {
+    fences.put(port, fence);
+  }
+
+  @Override
+  public HttpCall complete(
+      InetSocketAddress address,
+      CompletionRequest request,
+      EventLoop loop,
+      EngineListener listener) {
+    listener.onTokens(" t", 1, version(address.getPort()));
+    listener.onFinished("length");
+    return null;
+  }
+
+  @Override
+  public CompletionStage<Void> cancel(InetSocketAddress address, String requestId) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletionStage<Load> load(InetSocketAddress address) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletionStage<Weights> weights(InetSocketAddress address) {
+    int port = address.getPort();
+    return CompletableFuture.completedFuture(
+        new Weights(version(port), NOT_LOADING, fences.getOrDefault(port, 0L)));
+  }
+
+  @Override
+  public CompletionStage<OrderAnswer> order(InetSocketAddress address, LoadOrder order) {
+    int port = address.getPort();
+    if (checksFence && order.fence() < fences.getOrDefault(port, 0L)) {
+      return CompletableFuture.completedFuture(OrderAnswer.STALE_FENCE);
+    }
+    fences.merge(port, order.fence(), Math::max);
+    versions.put(port, order.version());
+    accepted.add(new Accepted(order, nowMs.getAsLong()));
+    return CompletableFuture.completedFuture(OrderAnswer.ACCEPTED);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeTable.java
@@ -0,0 +1,53 @@
+package org.sycamoretrack.daemon.version;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.platform.Transaction;
+import org.sycamoretrack.daemon.platform.TransactionResult;
+
+/** A table service that answers at once, or loses the answers of writes. */
+final class FakeTable implements TableStore {
+  private final Map<String, Row> rows = new TreeMap<>();
+  int lostAnswers;
+
+  @Override
+  public CompletionStage<Optional<Row>> read(String table, String key) {
+    return CompletableFuture.completedFuture(Optional.ofNullable(rows.get(table + ":" + key)));
+  }
+
+  @Override
+  public CompletionStage<List<Row>> scan(String table, String prefix, String after, int limit) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletionStage<TransactionResult> transact(Transaction transaction) {
+    List<Long> versions = new ArrayList<>();
+    for (Transaction.Put put : transaction.puts()) {
+      String name = put.table() + ":" + put.key();
+      long version = rows.containsKey(name) ? rows.get(name).version() : 0;
+      if (put.expectedVersion() != version) {
+        return CompletableFuture.completedFuture(
+            new TransactionResult.Conflict(
+                List.of(new TransactionResult.ConflictingRow(put.table(), put.key(), version))));
+      }
+      rows.put(name, new Row(put.key(), version + 1, put.value()));
+      versions.add(version + 1);
+    }
+    if (lostAnswers > 0) {
+      lostAnswers--;
+      return CompletableFuture.failedFuture(
+          new SycamoreException(ErrorCode.PLATFORM_UNAVAILABLE, Outcome.UNKNOWN, "answer lost"));
+    }
+    return CompletableFuture.completedFuture(new TransactionResult.Committed(versions));
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
@@ -0,0 +1,295 @@
+package org.sycamoretrack.daemon.version;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.PoolType;
+import org.sycamoretrack.core.version.Resource;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.core.version.RolloutTimes;
+import org.sycamoretrack.daemon.platform.WeightStore;
+import org.sycamoretrack.daemon.process.ControlInbox;
+import org.sycamoretrack.daemon.process.LeaseService;
+
+/**
+ * Tests of {@link WeightRolloutService}: who may order, and when, on a clock that the test moves.
+ */
+class WeightRolloutServiceTest {
+  private static final int FIRST_PORT = 7_000;
+  private static final int ENGINES = 4;
+  private static final int TICK_MS = 50;
+  private static final long LIMIT_MS = 300_000;
+  private static final LeaseTimes LEASE = new LeaseTimes(10_000, 2_000, 3_000, 200);
+
+  private final FakeTable table = new FakeTable();
+  private final List<TestNode> nodes = new ArrayList<>();
+  private FakeEngines engines = new FakeEngines(true, () -> clockMs());
+  private boolean checksFence = true;
+  private long nowMs = 1_000;
+  private long latest = 2;
+
+  private long clockMs() {
+    return nowMs;
+  }
+
+  /** A node with its lease and its rollouts; it acts only while the test lets it. */
+  private final class TestNode implements RolloutSurroundings {
+    final LeaseService lease;
+    final WeightRolloutService service;
+    boolean wants = true;
+    boolean paused;
+    Runnable beforeOrders = () -> {};
+
+    TestNode(String nodeId, String incarnation) {
+      ControlInbox.ControlExecutor control =
+          command -> {
+            command.run();
+            return true;
+          };
+      lease =
+          new LeaseService(
+              table,
+              new LeaseService.Holder(nodeId, incarnation, "127.0.0.1:1", "svea-a"),
+              LEASE,
+              () -> TimeUnit.MILLISECONDS.toNanos(nowMs),
+              control);
+      service =
+          WeightRolloutService.builder()
+              .node(nodeId, NodeLease.of(lease))
+              .platform(table, model -> CompletableFuture.completedFuture(versions()))
+              .engines(engines)
+              .surroundings(this)
+              .runtime(() -> TimeUnit.MILLISECONDS.toNanos(nowMs), new Random(1), control)
+              .times(RolloutTimes.DEFAULT, LEASE.pauseMarginMs())
+              .ordersPerSecond(4)
+              .build();
+      nodes.add(this);
+    }
+
+    private WeightStore.Versions versions() {
+      return new WeightStore.Versions(latest, List.of(1L, latest));
+    }
+
+    @Override
+    public Configuration configuration() {
+      return config();
+    }
+
+    @Override
+    public boolean owns(RolloutGroup group) {
+      return wants;
+    }
+
+    @Override
+    public boolean looksAfter(String endpoint) {
+      return true;
+    }
+
+    @Override
+    public boolean isInService(String endpoint) {
+      return true;
+    }
+
+    @Override
+    public int inFlight(String endpoint) {
+      beforeOrders.run();
+      return 0;
+    }
+  }
+
+  private Configuration config() {
+    List<Resource> resources = new ArrayList<>();
+    resources.add(
+        resource(
+            "modellhall", new ResourceSpec.PoolSpec(PoolType.MODEL, "sampler", checksFence, 0.5)));
+    for (int i = 0; i < ENGINES; i++) {
+      resources.add(
+          resource(
+              "e" + i,
+              new ResourceSpec.EndpointSpec("modellhall", "127.0.0.1", FIRST_PORT + i, "svea-a")));
+    }
+    return new Configuration(1, resources);
+  }
+
+  private static Resource resource(String name, ResourceSpec spec) {
+    return new Resource(name, Map.of(), 1, spec);
+  }
+
+  private void tick() {
+    nowMs += TICK_MS;
+    for (TestNode node : nodes) {
+      if (!node.paused) {
+        node.lease.poll();
+        node.service.poll();
+      }
+    }
+  }
+
+  private void runUntil(BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      tick();
+      assertThat(nowMs).as("time").isLessThan(LIMIT_MS);
+    }
+  }
+
+  private void runFor(long durationMs) {
+    long endMs = nowMs + durationMs;
+    runUntil(() -> nowMs >= endMs);
+  }
+
+  private boolean allServe(long version) {
+    for (int i = 0; i < ENGINES; i++) {
+      if (engines.version(FIRST_PORT + i) != version) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private List<FakeEngines.Accepted> ordersOf(String nodeId) {
+    return engines.accepted.stream().filter(each -> each.order().nodeId().equals(nodeId)).toList();
+  }
+
+  private void start(boolean checks) {
+    checksFence = checks;
+    engines = new FakeEngines(checks, () -> nowMs);
+  }
+
+  @Test
+  void bringsAllEnginesToTheNewestVersionAndShowsIt() {
+    TestNode node = new TestNode("a", "a1");
+    runUntil(() -> allServe(2));
+    runFor(2_000);
+    RolloutView view = node.service.view();
+    assertThat(view.targetVersions()).containsEntry("modellhall", 2L);
+    assertThat(view.endpoints().values())
+        .hasSize(ENGINES)
+        .allMatch(status -> status.proven() && status.servedVersion() == 2);
+    assertThat(view.endpoints().keySet()).noneMatch(view::isOutOfService);
+    assertThat(engines.accepted).hasSize(ENGINES).allMatch(each -> each.order().fence() == 1);
+  }
+
+  @Test
+  void nodeThatDoesNotOwnTheGroupOnlyReads() {
+    TestNode node = new TestNode("a", "a1");
+    node.wants = false;
+    runFor(10_000);
+    assertThat(engines.accepted).isEmpty();
+    assertThat(node.service.view().endpoints()).hasSize(ENGINES);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void holderThatWakesAfterItsLeaseLapsedOrdersNothing(boolean checks) {
+    start(checks);
+    TestNode old = new TestNode("a", "a1");
+    old.wants = true;
+    runUntil(() -> allServe(2));
+    long lastOldOrderMs = ordersOf("a").getLast().atMs();
+    old.paused = true;
+    TestNode successor = new TestNode("b", "b1");
+    long pausedAtMs = nowMs;
+    latest = 3;
+    runUntil(() -> allServe(3));
+    assertThat(ordersOf("b")).allMatch(each -> each.order().fence() == 2);
+    long waitedMs = ordersOf("b").getFirst().atMs() - pausedAtMs;
+    long required = LEASE.takeOverAfterMs() + (checks ? 0 : LEASE.pauseMarginMs());
+    assertThat(waitedMs).isGreaterThanOrEqualTo(required);
+    latest = 4;
+    successor.wants = false;
+    old.paused = false;
+    old.service.poll();
+    assertThat(ordersOf("a")).allMatch(each -> each.atMs() <= lastOldOrderMs);
+    runUntil(() -> allServe(4));
+    assertThat(ordersOf("a").getLast().order().fence()).isEqualTo(3);
+  }
+
+  @Test
+  void orderIsDroppedWhenTheLeaseLapsesBetweenPlanAndOrder() {
+    start(false);
+    TestNode node = new TestNode("a", "a1");
+    runUntil(
+        () ->
+            !node.service.view().groups().isEmpty()
+                && node.service.view().groups().get(0).epoch() > 0);
+    engines.accepted.clear();
+    latest = 3;
+    node.beforeOrders = () -> nowMs += 4_000;
+    runFor(60_000);
+    assertThat(engines.accepted).isEmpty();
+    node.beforeOrders = () -> {};
+    runUntil(() -> allServe(3));
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void ofTwoThatWantToOrderOneDoes(boolean checks) {
+    start(checks);
+    new TestNode("a", "a1");
+    new TestNode("b", "b1");
+    for (long version = 2; version < 8; version++) {
+      latest = version;
+      long target = version;
+      runUntil(() -> allServe(target));
+      runFor(5_000);
+    }
+    assertThat(engines.accepted).extracting(each -> each.order().nodeId()).containsOnly("a");
+    assertThat(engines.accepted).hasSize(6 * ENGINES);
+  }
+
+  @Test
+  void handsOverWithoutWaitingForTheLeaseWhenEnginesCheck() {
+    TestNode first = new TestNode("a", "a1");
+    TestNode second = new TestNode("b", "b1");
+    second.wants = false;
+    runUntil(() -> allServe(2));
+    runFor(1_000);
+    first.wants = false;
+    second.wants = true;
+    latest = 3;
+    long handedOverAtMs = nowMs;
+    runUntil(() -> allServe(3));
+    assertThat(ordersOf("b")).hasSize(ENGINES).allMatch(each -> each.order().fence() == 2);
+    assertThat(ordersOf("b").getFirst().atMs() - handedOverAtMs).isLessThan(2_000);
+  }
+
+  @Test
+  void restartedNodeTakesItsGroupAgainWithAHigherEpoch() {
+    TestNode before = new TestNode("a", "a1");
+    runUntil(() -> allServe(2));
+    before.paused = true;
+    latest = 3;
+    new TestNode("a", "a2");
+    runUntil(() -> allServe(3));
+    assertThat(engines.accepted.getLast().order().fence()).isEqualTo(2);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1", "2", "3", "4"})
+  void answersLostAfterTheWriteTookEffectDontStopIt(int lostAnswers) {
+    table.lostAnswers = lostAnswers;
+    new TestNode("a", "a1");
+    runUntil(() -> allServe(2));
+    assertThat(engines.accepted).hasSize(ENGINES);
+  }
+
+  @Test
+  void goesAboveFencingNumbersThatEnginesHaveSeen() {
+    engines.setFence(FIRST_PORT + 2, 40);
+    new TestNode("a", "a1");
+    runUntil(() -> allServe(2));
+    assertThat(engines.accepted.getLast().order().fence()).isEqualTo(41);
+  }
+}
--- a/standins/src/test/java/org/sycamoretrack/standins/process/StandinClient.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/process/StandinClient.java
@@ -62,7 +62,7 @@
   /** Asks again and again until a condition holds; the test's own timeout ends the wait. */
   static void await(BooleanSupplier condition) {
     while (!condition.getAsBoolean()) {
-      Thread.onSpinWait();
+      java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
     }
   }
 
