Measure the choice of endpoint; let interactive calls probe

Weighed: a probe made up by the node (needs a request that is nobody's; later, where p99.9 matters).

--- a/benchmarks/src/main/java/org/sycamoretrack/bench/connection/Placement.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/Placement.java
@@ -1,8 +1,9 @@
 package org.sycamoretrack.bench.connection;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
 import org.sycamoretrack.core.connection.EndpointSelector;
 import org.sycamoretrack.core.connection.EndpointView;
 import org.sycamoretrack.core.connection.RequestTraits;
@@ -31,23 +32,27 @@
     }
   }
 
-  /** The endpoint with the fewest requests in flight. */
-  record FewestInFlight() implements Placement {
+  /**
+   * The endpoint with the fewest requests in flight; equal ones at random.
+   *
+   * @param random the source of chance
+   */
+  record FewestInFlight(RandomGenerator random) implements Placement {
     @Override
     public Optional<String> choose(List<EndpointView> views, RequestTraits traits, long nowMs) {
-      return inService(views).stream()
-          .min(Comparator.comparingInt(EndpointView::inFlight))
-          .map(EndpointView::name);
+      return smallest(views, EndpointView::inFlight, random);
     }
   }
 
-  /** The endpoint with the smallest load by its own late report. */
-  record SmallestReportedLoad() implements Placement {
+  /**
+   * The endpoint with the smallest load by its own late report; equal ones at random.
+   *
+   * @param random the source of chance
+   */
+  record SmallestReportedLoad(RandomGenerator random) implements Placement {
     @Override
     public Optional<String> choose(List<EndpointView> views, RequestTraits traits, long nowMs) {
-      return inService(views).stream()
-          .min(Comparator.comparingInt(EndpointView::reportedLoad))
-          .map(EndpointView::name);
+      return smallest(views, EndpointView::reportedLoad, random);
     }
   }
 
@@ -63,6 +68,14 @@
     }
   }
 
+  private static Optional<String> smallest(
+      List<EndpointView> views, ToIntFunction<EndpointView> load, RandomGenerator random) {
+    int smallest = inService(views).stream().mapToInt(load).min().orElseThrow();
+    List<EndpointView> equal =
+        inService(views).stream().filter(view -> load.applyAsInt(view) == smallest).toList();
+    return Optional.of(equal.get(random.nextInt(equal.size())).name());
+  }
+
   private static List<EndpointView> inService(List<EndpointView> views) {
     return views.stream().filter(EndpointView::inService).toList();
   }
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -6,15 +6,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.sycamoretrack.bench.request.AdmissionMeasure;
+import org.sycamoretrack.bench.request.SelectionMeasure;
 import org.sycamoretrack.bench.request.StragglerMeasure;
 
 /** Runs measures by name; {@code all} runs each of them. */
 public final class Bench {
   private static final List<Measure> MEASURES =
-      List.of(new AdmissionMeasure(), new StragglerMeasure());
+      List.of(new AdmissionMeasure(), new SelectionMeasure(), new StragglerMeasure());
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(description = "NAME... (admission, stragglers or all)")
+  @Parameter(description = "NAME... (admission, selection, stragglers or all)")
   private List<String> names = new ArrayList<>();
 
   @Parameter(names = "--seed", description = "seed of all chance")
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/request/AdmissionMeasure.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/AdmissionMeasure.java
@@ -85,7 +85,7 @@
     Result result = new Result(seed);
     Placement placement =
         limit == null
-            ? new Placement.FewestInFlight()
+            ? new Placement.FewestInFlight(random.split())
             : new Placement.BySelector(new EndpointSelector(random.split()));
     ModelPool.Builder builder = ModelPool.builder(placement);
     if (limit != null) {
@@ -97,6 +97,7 @@
         result.time,
         arrivals,
         SHORT_CALLS_PER_S,
+        0,
         call -> result.pool.submit(call, Workload.MEAN_SHORT_TOKENS));
     if (withLongWork) {
       result.time.after(0, result::startLongWork);
--- a/core/src/main/java/org/sycamoretrack/core/connection/EndpointSelector.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/EndpointSelector.java
@@ -16,8 +16,9 @@
  *   <li>Endpoints that may not serve it fall out: out of service, excluded, older weights. Ejected
  *       ones fall out too, as long as at least half of the rest is in use; below that, the reason
  *       is likelier the pool than the endpoints, and ejection is ignored.
- *   <li>A rollout request goes to an endpoint that is due a probe; interactive ones are no probes
- *       while others are in use.
+ *   <li>A rollout request goes to an endpoint that is due a probe; of interactive ones, one in
+ *       {@value #INTERACTIVE_CALLS_PER_PROBE}, so that rollout work probes first where there is
+ *       any.
  *   <li>Endpoints of the preferred zone are kept, if one of them has a free slot or no other zone
  *       has one.
  *   <li>With a prefix: the endpoint that the prefix hashes to, if the completion expected there is
@@ -35,6 +36,7 @@
   private static final double AFFINITY_SLACK = 1.25;
   private static final double FILL_SLOWDOWN = 0.25;
   private static final long FRESH_MS = 20;
+  private static final int INTERACTIVE_CALLS_PER_PROBE = 8;
   private static final double MIN_SHARE_IN_USE = 0.5;
 
   private final RandomGenerator random;
@@ -60,9 +62,10 @@
     List<EndpointView> allowed = views.stream().filter(view -> isAllowed(view, traits)).toList();
     List<EndpointView> inUse =
         allowed.stream().filter(view -> view.ejection() == EjectionState.IN_USE).toList();
-    Optional<EndpointView> probe = probe(allowed, traits, inUse.isEmpty());
-    if (probe.isPresent()) {
-      return probe.map(EndpointView::name);
+    Optional<EndpointView> due =
+        allowed.stream().filter(view -> view.ejection() == EjectionState.PROBE_DUE).findFirst();
+    if (due.isPresent() && mayProbe(traits.requestClass(), inUse.isEmpty())) {
+      return due.map(EndpointView::name);
     }
     boolean enough = inUse.size() >= MIN_SHARE_IN_USE * allowed.size();
     List<EndpointView> candidates = preferZone(enough ? inUse : allowed, traits.zone());
@@ -98,12 +101,11 @@
         && !traits.excluded().contains(view.name());
   }
 
-  private static Optional<EndpointView> probe(
-      List<EndpointView> allowed, RequestTraits traits, boolean noneInUse) {
-    if (traits.requestClass() == RequestClass.INTERACTIVE && !noneInUse) {
-      return Optional.empty();
-    }
-    return allowed.stream().filter(view -> view.ejection() == EjectionState.PROBE_DUE).findFirst();
+  private boolean mayProbe(RequestClass requestClass, boolean noneInUse) {
+    return switch (requestClass) {
+      case ROLLOUT -> true;
+      case INTERACTIVE -> noneInUse || random.nextInt(INTERACTIVE_CALLS_PER_PROBE) == 0;
+    };
   }
 
   private static List<EndpointView> preferZone(List<EndpointView> views, String zone) {
