Add the membership protocol and its service

Nodes must see a crash within 3 s with up to 350 members. Beliefs of the other side of a healed partition are not taken over but passed to the accused, since taking them over would mark live members dead in both halves for a moment.

--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/process/Membership.java
@@ -0,0 +1,420 @@
+package org.sycamoretrack.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.sycamoretrack.core.process.SwimMessage.Ack;
+import org.sycamoretrack.core.process.SwimMessage.Digest;
+import org.sycamoretrack.core.process.SwimMessage.Envelope;
+import org.sycamoretrack.core.process.SwimMessage.Gossip;
+import org.sycamoretrack.core.process.SwimMessage.Ping;
+import org.sycamoretrack.core.process.SwimMessage.PingRequest;
+import org.sycamoretrack.core.process.SwimMessage.Snapshot;
+
+/**
+ * Decides which nodes are members, after the SWIM protocol: probes, indirect probes, suspicion and
+ * gossip.
+ *
+ * <p>Each round a node probes a few members. One that does not answer is probed through others; one
+ * that does not answer them either is suspected, and the suspicion spreads. The suspected node
+ * refutes it by stating itself alive with a higher incarnation; if it does not in time, it is dead.
+ * News rides on probes and their answers, and on gossip to a few members of the own zone and one of
+ * another. Now and then two nodes compare digests of all that they know and exchange it when they
+ * differ, which mends what gossip missed and joins partitions that healed.
+ *
+ * <p>A snapshot may hold beliefs from the other side of a partition. A member that it calls suspect
+ * or dead while it is alive here is not believed to be so: it is told, and refutes. A node that was
+ * itself paused drops its probes, since their answers may have been lost while it did not run.
+ *
+ * <p>The class does no I/O and has no clock: times are passed in, messages are returned. It is
+ * confined to one thread.
+ *
+ * <p>Invariants: the record of a node never goes back to an older one while it is remembered; only
+ * the node itself raises its incarnation.
+ *
+ * <p>Example, with times from the crash of c: a probes c at 200 ms, asks b to probe it at 500 ms,
+ * suspects it at 800 ms and declares it dead at 1,700 ms.
+ */
+public final class Membership {
+  private static final int RELAYS = 3;
+  private static final int MAX_NEWS_ON_PROBE = 6;
+  private static final int MAX_NEWS_IN_GOSSIP = 24;
+  private static final int ZONE_FANOUT = 2;
+  private static final long DIGEST_MS_PER_MEMBER = 100;
+
+  private final MembershipTimings timings;
+  private final Random random;
+  private final MemberTable table;
+  private final Map<Long, Probe> probes = new HashMap<>();
+  private List<Envelope> out = new ArrayList<>();
+  private MembershipView view;
+  private long nextSeq;
+  private long lastTickMs;
+  private long nextProbeMs;
+  private long nextGossipMs;
+  private long nextDigestMs;
+  private long nextLostContactMs;
+
+  /** A probe under way, of this node or for another. */
+  private static final class Probe {
+    private final String targetId;
+    private final long incarnation;
+    private final String origin;
+    private final long originSeq;
+    private long directDeadlineMs;
+    private final long deadlineMs;
+    private boolean indirect;
+
+    Probe(Member target, String origin, long originSeq, long nowMs, MembershipTimings timings) {
+      this.targetId = target.nodeId();
+      this.incarnation = target.incarnation();
+      this.origin = origin;
+      this.originSeq = originSeq;
+      this.directDeadlineMs = nowMs + timings.directTimeoutMs();
+      this.deadlineMs = directDeadlineMs + timings.indirectTimeoutMs();
+    }
+  }
+
+  /**
+   * Creates the membership of a node that knows nobody yet.
+   *
+   * @param self the node's own record
+   * @param timings the times of the protocol
+   * @param random the source of random choices
+   * @param nowMs the present time in milliseconds
+   */
+  public Membership(Member self, MembershipTimings timings, Random random, long nowMs) {
+    this.timings = timings;
+    this.random = random;
+    this.table = new MemberTable(self);
+    this.lastTickMs = nowMs;
+    this.nextProbeMs = nowMs;
+    this.nextGossipMs = nowMs;
+    this.nextDigestMs = nowMs + timings.digestPeriodMs();
+    this.nextLostContactMs = nowMs + timings.lostContactPeriodMs();
+  }
+
+  /** Returns the members as seen now. */
+  public MembershipView view() {
+    if (table.takeChanged() || view == null) {
+      List<Member> others = table.entries().stream().map(MemberTable.Entry::member).toList();
+      view = new MembershipView(table.self(), others);
+    }
+    return view;
+  }
+
+  /**
+   * Raises the epoch of the own record; a lower one is ignored.
+   *
+   * @param epoch the epoch of the node's lease
+   */
+  public void setEpoch(long epoch) {
+    if (epoch > table.self().epoch()) {
+      table.restateSelf(epoch, table.self().state());
+    }
+  }
+
+  /**
+   * Sets the version that probes tell.
+   *
+   * @param configVersion the version of the configuration in force here
+   */
+  public void setConfigVersion(long configVersion) {
+    table.setConfigVersion(configVersion);
+  }
+
+  /** States that the node is leaving: it takes no new work. */
+  public void leave() {
+    table.restateSelf(table.self().epoch(), MemberState.LEAVING);
+  }
+
+  /**
+   * Takes in a node that was met on a connection, and exchanges with it all that is known.
+   *
+   * @param met the record that it introduced itself with
+   * @param nowMs the present time in milliseconds
+   * @return messages to send
+   */
+  public List<Envelope> onPeerMet(Member met, long nowMs) {
+    if (table.get(met.nodeId()) == null) {
+      table.merge(met, nowMs);
+    }
+    send(met.nodeId(), new Snapshot(table.all(), true));
+    return takeOut();
+  }
+
+  /**
+   * Probes a member now, since a connection to it broke.
+   *
+   * @param nodeId the member
+   * @param nowMs the present time in milliseconds
+   * @return messages to send
+   */
+  public List<Envelope> onPeerLost(String nodeId, long nowMs) {
+    Member member = table.get(nodeId);
+    if (member != null && isPresent(member)) {
+      probe(member, null, 0, nowMs);
+    }
+    return takeOut();
+  }
+
+  /**
+   * Notes that a message could not be sent: probes of that member go on through others at once.
+   *
+   * @param nodeId the receiver
+   * @param nowMs the present time in milliseconds
+   */
+  public void onSendFailed(String nodeId, long nowMs) {
+    for (Probe probe : probes.values()) {
+      if (probe.targetId.equals(nodeId)) {
+        probe.directDeadlineMs = nowMs;
+      }
+    }
+  }
+
+  /**
+   * Takes a message in.
+   *
+   * @param from the sender's node id
+   * @param message the message
+   * @param nowMs the present time in milliseconds
+   * @return messages to send
+   */
+  public List<Envelope> onMessage(String from, SwimMessage message, long nowMs) {
+    if (!(message instanceof Snapshot)) {
+      message.news().forEach(news -> table.merge(news, nowMs));
+    }
+    switch (message) {
+      case Ping ping -> {
+        table.noteConfigVersion(from, ping.configVersion());
+        send(from, new Ack(ping.seq(), configVersion(), newsFor(from)));
+      }
+      case Ack ack -> onAck(from, ack);
+      case PingRequest request -> onPingRequest(from, request, nowMs);
+      case Gossip gossip -> {
+        // Its news was taken in already.
+      }
+      case Digest digest -> onDigest(from, digest);
+      case Snapshot snapshot -> onSnapshot(from, snapshot, nowMs);
+    }
+    return takeOut();
+  }
+
+  private void onAck(String from, Ack ack) {
+    Probe probe = probes.remove(ack.seq());
+    if (probe == null) {
+      return;
+    }
+    if (probe.targetId.equals(from)) {
+      table.noteConfigVersion(from, ack.configVersion());
+    }
+    if (probe.origin != null) {
+      send(probe.origin, new Ack(probe.originSeq, configVersion(), List.of()));
+    }
+  }
+
+  private void onPingRequest(String from, PingRequest request, long nowMs) {
+    Member target = table.get(request.targetId());
+    if (target != null) {
+      probe(target, from, request.seq(), nowMs);
+    }
+  }
+
+  private void onDigest(String from, Digest digest) {
+    if (digest.hash() != table.digest()) {
+      send(from, new Snapshot(table.all(), true));
+    }
+  }
+
+  private void onSnapshot(String from, Snapshot snapshot, long nowMs) {
+    for (Member news : snapshot.news()) {
+      Member known = table.get(news.nodeId());
+      if (known != null && isAccusation(known, news)) {
+        send(news.nodeId(), new Gossip(List.of(news)));
+      } else {
+        table.merge(news, nowMs);
+      }
+    }
+    if (snapshot.wantsReply()) {
+      send(from, new Snapshot(table.all(), false));
+    }
+  }
+
+  private static boolean isAccusation(Member known, Member news) {
+    boolean accuses = news.state() == MemberState.SUSPECT || news.state() == MemberState.DEAD;
+    boolean clean = known.state() == MemberState.ALIVE || known.state() == MemberState.LEAVING;
+    return accuses && clean && news.supersedes(known);
+  }
+
+  /**
+   * Does what is due. Call it at least every 100 ms.
+   *
+   * @param nowMs the present time in milliseconds
+   * @return messages to send
+   */
+  public List<Envelope> onTick(long nowMs) {
+    forgiveOwnPause(nowMs);
+    checkProbes(nowMs);
+    checkSuspects(nowMs);
+    if (nowMs >= nextProbeMs) {
+      nextProbeMs = nowMs + timings.probePeriodMs();
+      startProbes(nowMs);
+    }
+    if (nowMs >= nextGossipMs) {
+      nextGossipMs = nowMs + timings.gossipPeriodMs();
+      gossip();
+    }
+    if (nowMs >= nextDigestMs) {
+      long periodMs = Math.max(timings.digestPeriodMs(), table.size() * DIGEST_MS_PER_MEMBER);
+      nextDigestMs = nowMs + periodMs / 2 + random.nextLong(periodMs);
+      sendDigest(present());
+    }
+    if (nowMs >= nextLostContactMs) {
+      nextLostContactMs = nowMs + timings.lostContactPeriodMs();
+      sendDigest(dead());
+      table.removeTombstones(nowMs, timings.tombstoneMs());
+    }
+    return takeOut();
+  }
+
+  /** Gives others the time that this node did not run: it could not have heard them. */
+  private void forgiveOwnPause(long nowMs) {
+    long pauseMs = nowMs - lastTickMs;
+    lastTickMs = nowMs;
+    if (pauseMs > timings.directTimeoutMs()) {
+      probes.clear();
+      table.entries().forEach(entry -> entry.delay(pauseMs));
+    }
+  }
+
+  private void startProbes(long nowMs) {
+    for (String targetId : ProbeTargets.choose(table.self(), present(), random)) {
+      probe(table.get(targetId), null, 0, nowMs);
+    }
+  }
+
+  private void probe(Member target, String origin, long originSeq, long nowMs) {
+    long seq = nextSeq++;
+    probes.put(seq, new Probe(target, origin, originSeq, nowMs, timings));
+    send(target.nodeId(), new Ping(seq, configVersion(), newsFor(target.nodeId())));
+  }
+
+  private void checkProbes(long nowMs) {
+    Iterator<Map.Entry<Long, Probe>> next = probes.entrySet().iterator();
+    while (next.hasNext()) {
+      Map.Entry<Long, Probe> entry = next.next();
+      Probe probe = entry.getValue();
+      if (nowMs >= probe.deadlineMs) {
+        next.remove();
+        if (probe.origin == null) {
+          suspect(probe, nowMs);
+        }
+      } else if (nowMs >= probe.directDeadlineMs && !probe.indirect && probe.origin == null) {
+        probe.indirect = true;
+        askRelays(entry.getKey(), probe.targetId);
+      }
+    }
+  }
+
+  private void askRelays(long seq, String targetId) {
+    for (String relay : ProbeTargets.relays(present(), targetId, RELAYS, random)) {
+      send(relay, new PingRequest(seq, targetId, List.of()));
+    }
+  }
+
+  private void suspect(Probe probe, long nowMs) {
+    Member member = table.get(probe.targetId);
+    boolean unchanged =
+        member != null && isPresent(member) && member.incarnation() == probe.incarnation;
+    if (unchanged && member.state() != MemberState.SUSPECT) {
+      table.believe(probe.targetId, MemberState.SUSPECT, nowMs);
+    }
+  }
+
+  private void checkSuspects(long nowMs) {
+    List<String> expired = new ArrayList<>();
+    for (MemberTable.Entry entry : table.entries()) {
+      if (entry.member().state() == MemberState.SUSPECT
+          && nowMs - entry.sinceMs() >= timings.suspicionMs()) {
+        expired.add(entry.member().nodeId());
+      }
+    }
+    expired.forEach(nodeId -> table.believe(nodeId, MemberState.DEAD, nowMs));
+  }
+
+  private void gossip() {
+    if (table.gossip().isEmpty()) {
+      return;
+    }
+    String zone = table.self().zone();
+    List<Member> present = present();
+    List<Member> near = present.stream().filter(member -> member.zone().equals(zone)).toList();
+    List<Member> far = present.stream().filter(member -> !member.zone().equals(zone)).toList();
+    List<String> receivers = new ArrayList<>();
+    receivers.addAll(ProbeTargets.relays(near, "", ZONE_FANOUT, random));
+    receivers.addAll(ProbeTargets.relays(far, "", 1, random));
+    for (String receiver : receivers) {
+      List<Member> news = table.gossip().take(MAX_NEWS_IN_GOSSIP);
+      if (!news.isEmpty()) {
+        send(receiver, new Gossip(news));
+      }
+    }
+  }
+
+  private void sendDigest(List<Member> receivers) {
+    if (!receivers.isEmpty()) {
+      Member receiver = receivers.get(random.nextInt(receivers.size()));
+      send(receiver.nodeId(), new Digest(table.digest()));
+    }
+  }
+
+  /** Returns news to ride along, and what is believed of the receiver when it should refute it. */
+  private List<Member> newsFor(String receiver) {
+    List<Member> news = table.gossip().take(MAX_NEWS_ON_PROBE);
+    Member known = table.get(receiver);
+    boolean accused =
+        known != null
+            && (known.state() == MemberState.SUSPECT || known.state() == MemberState.DEAD);
+    if (!accused || news.contains(known)) {
+      return news;
+    }
+    List<Member> withAccusation = new ArrayList<>(news);
+    withAccusation.add(known);
+    return withAccusation;
+  }
+
+  private List<Member> present() {
+    return table.entries().stream()
+        .map(MemberTable.Entry::member)
+        .filter(Membership::isPresent)
+        .toList();
+  }
+
+  private List<Member> dead() {
+    return table.entries().stream()
+        .map(MemberTable.Entry::member)
+        .filter(member -> !isPresent(member))
+        .toList();
+  }
+
+  private static boolean isPresent(Member member) {
+    return member.state() != MemberState.DEAD;
+  }
+
+  private long configVersion() {
+    return table.self().configVersion();
+  }
+
+  private void send(String to, SwimMessage message) {
+    out.add(new Envelope(to, message));
+  }
+
+  private List<Envelope> takeOut() {
+    List<Envelope> taken = out;
+    out = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/MembershipTest.java
@@ -0,0 +1,175 @@
+package org.sycamoretrack.daemon.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.sycamoretrack.daemon.process.VirtualNetwork.nodeId;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.core.process.Member;
+import org.sycamoretrack.core.process.MemberState;
+
+/** The membership protocol on a virtual network. */
+class MembershipTest {
+  private static final long SEED = 4711;
+  private static final long DETECTION_MS = 3_000;
+
+  private final VirtualNetwork network = new VirtualNetwork(SEED);
+
+  private MemberState seen(String by, String of) {
+    return network.nodes.get(by).view().member(of).map(Member::state).orElse(null);
+  }
+
+  private boolean allSee(String of, MemberState state) {
+    return network.nodes.keySet().stream()
+        .filter(by -> !by.equals(of))
+        .allMatch(by -> seen(by, of) == state);
+  }
+
+  private boolean allSeeAll() {
+    return network.nodes.values().stream()
+        .allMatch(node -> node.view().alive().size() == network.nodes.size());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 9, 50, 150, 350})
+  void aCrashIsKnownToAllWithinTheBound(int count) {
+    network.startAll(count);
+    assertThat(allSeeAll()).isTrue();
+    for (int crash = 0; crash < (count > 9 ? 3 : 1); crash++) {
+      String victim = nodeId(count - 1 - crash);
+      network.kill(victim);
+      long tookMs = network.runUntil(10_000, () -> allSee(victim, MemberState.DEAD));
+      assertThat(tookMs).isLessThanOrEqualTo(DETECTION_MS);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"9, 0.05", "50, 0.05", "9, 0.1"})
+  void lossKillsNobodyForLong(int count, double lossShare) {
+    network.startAll(count);
+    network.lose(lossShare);
+    for (int check = 0; check < 600; check++) {
+      network.run(100);
+      for (String by : network.nodes.keySet()) {
+        assertThat(network.nodes.get(by).view().members())
+            .noneMatch(member -> member.state() == MemberState.DEAD);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {9, 90})
+  void aCutOffZoneGoesOnAloneAndComesBack(int count) {
+    network.startAll(count);
+    network.cut(
+        (from, to) -> network.zoneOf(from).equals("svea-a") != network.zoneOf(to).equals("svea-a"));
+    network.run(8_000);
+    for (String by : network.nodes.keySet()) {
+      int expected = network.zoneOf(by).equals("svea-a") ? count / 3 : count - count / 3;
+      assertThat(network.nodes.get(by).view().alive()).hasSize(expected);
+    }
+
+    network.cut((from, to) -> false);
+    long tookMs = network.runUntil(30_000, this::allSeeAll);
+
+    assertThat(tookMs).isLessThan(10_000);
+  }
+
+  @Test
+  void aPausedNodeIsDeadUntilItWakesAndAccusesNobody() {
+    network.startAll(9);
+    String victim = nodeId(4);
+    network.pause(victim);
+    long tookMs = network.runUntil(10_000, () -> allSee(victim, MemberState.DEAD));
+    assertThat(tookMs).isLessThanOrEqualTo(DETECTION_MS);
+    network.run(20_000);
+
+    network.resume(victim);
+    long backMs = network.runUntil(10_000, this::allSeeAll);
+
+    assertThat(backMs).isLessThan(3_000);
+    network.runUntil(
+        5_000,
+        () -> {
+          assertThat(allSeeAll()).isTrue();
+          return false;
+        });
+  }
+
+  @Test
+  void aNodeThatCameBackWithAHigherEpochReplacesItsOldLife() {
+    network.startAll(9);
+    String victim = nodeId(4);
+    network.kill(victim);
+    network.run(1_000);
+    network.start(victim, "svea-b", 2);
+    network.meet(victim, nodeId(0));
+
+    long tookMs = network.runUntil(10_000, this::allSeeAll);
+
+    assertThat(tookMs).isLessThan(3_000);
+    network.run(5_000);
+    assertThat(network.nodes.values())
+        .allMatch(node -> node.view().member(victim).orElseThrow().epoch() == 2);
+    assertThat(allSeeAll()).isTrue();
+  }
+
+  @Test
+  void aNodeThatCameBackWithoutALeaseRefutesItsOldLife() {
+    network.startAll(9);
+    String victim = nodeId(4);
+    network.kill(victim);
+    network.run(5_000);
+    network.start(victim, "svea-b", 0);
+    network.meet(victim, nodeId(0));
+
+    assertThat(network.runUntil(10_000, this::allSeeAll)).isLessThan(3_000);
+  }
+
+  @Test
+  void aLeavingNodeTakesNoNewWorkAnywhereSoon() {
+    network.startAll(90);
+    String leaver = nodeId(4);
+    network.nodes.get(leaver).leave();
+
+    long tookMs = network.runUntil(10_000, () -> allSee(leaver, MemberState.LEAVING));
+
+    assertThat(tookMs).isLessThan(2_000);
+    network.run(10_000);
+    assertThat(allSee(leaver, MemberState.LEAVING)).isTrue();
+    assertThat(network.nodes.get(nodeId(0)).view().alive("svea-b")).hasSize(29);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"10", "150", "350"})
+  void trafficStaysUnderItsBound(int count) {
+    network.startAll(count);
+    network.run(5_000);
+    network.bytesSent.clear();
+    long durationS = 60;
+    network.run(durationS * 1_000);
+
+    long mostBytesPerS =
+        network.bytesSent.values().stream().mapToLong(bytes -> bytes / durationS).max().orElse(0);
+    System.out.printf("members=%d bytesPerS=%d%n", count, mostBytesPerS);
+    assertThat(mostBytesPerS).isLessThan(5_000);
+  }
+
+  @Test
+  void theNewestConfigurationVersionOfEachMemberIsHeard() {
+    network.startAll(9);
+    network.nodes.get(nodeId(4)).setConfigVersion(7);
+
+    long tookMs =
+        network.runUntil(
+            10_000,
+            () ->
+                network.nodes.values().stream()
+                    .allMatch(
+                        node -> node.view().member(nodeId(4)).orElseThrow().configVersion() == 7));
+
+    assertThat(tookMs).isLessThan(7_000);
+  }
+}
