Tell a suspect directly and probe it once more before its death

With 50 members and 5% loss a live member was taken for dead within a minute: its refutation competed with the suspicion's spread. The suspect is now told directly, its answer goes back to the accuser, and whoever heard of the suspicion probes once more at half its time.

--- a/core/src/main/java/org/sycamoretrack/core/process/MemberTable.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/MemberTable.java
@@ -31,6 +31,7 @@
   static final class Entry {
     private Member member;
     private long sinceMs;
+    private boolean verifying;
 
     private Entry(Member member, long sinceMs) {
       this.member = member;
@@ -45,6 +46,13 @@
       return sinceMs;
     }
 
+    /** Returns true once for each time that the state changed. */
+    boolean beginVerification() {
+      boolean first = !verifying;
+      verifying = true;
+      return first;
+    }
+
     void delay(long delayMs) {
       sinceMs += delayMs;
     }
@@ -108,6 +116,7 @@
     } else if (news.supersedes(known.member)) {
       if (news.state() != known.member.state()) {
         known.sinceMs = nowMs;
+        known.verifying = false;
       }
       known.member = news.withConfigVersion(newestVersion(known.member, news));
       spread(known.member);
--- a/core/src/main/java/org/sycamoretrack/core/process/Membership.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/Membership.java
@@ -25,6 +25,9 @@
  * another. Now and then two nodes compare digests of all that they know and exchange it when they
  * differ, which mends what gossip missed and joins partitions that healed.
  *
+ * <p>The suspected node is told directly, and every member that heard of the suspicion probes it
+ * once more before it takes it for dead, so that lost messages alone hardly ever kill a member.
+ *
  * <p>A snapshot may hold beliefs from the other side of a partition. A member that it calls suspect
  * or dead while it is alive here is not believed to be so: it is told, and refutes. A node that was
  * itself paused drops its probes, since their answers may have been lost while it did not run.
@@ -184,6 +187,7 @@
    * @return messages to send
    */
   public List<Envelope> onMessage(String from, SwimMessage message, long nowMs) {
+    boolean outdated = hasOutdatedSelf(message);
     if (!(message instanceof Snapshot)) {
       message.news().forEach(news -> table.merge(news, nowMs));
     }
@@ -200,9 +204,23 @@
       case Digest digest -> onDigest(from, digest);
       case Snapshot snapshot -> onSnapshot(from, snapshot, nowMs);
     }
+    if (outdated) {
+      send(from, new Gossip(List.of(table.self())));
+    }
     return takeOut();
   }
 
+  /** Returns whether the sender holds a record of this node that is not its present one. */
+  private boolean hasOutdatedSelf(SwimMessage message) {
+    Member self = table.self();
+    return message.news().stream()
+        .anyMatch(
+            news ->
+                news.nodeId().equals(self.nodeId())
+                    && (news.supersedes(self) || self.supersedes(news))
+                    && news.state() != self.state());
+  }
+
   private void onAck(String from, Ack ack) {
     Probe probe = probes.remove(ack.seq());
     if (probe == null) {
@@ -331,15 +349,21 @@
         member != null && isPresent(member) && member.incarnation() == probe.incarnation;
     if (unchanged && member.state() != MemberState.SUSPECT) {
       table.believe(probe.targetId, MemberState.SUSPECT, nowMs);
+      send(probe.targetId, new Gossip(List.of(table.get(probe.targetId))));
     }
   }
 
   private void checkSuspects(long nowMs) {
     List<String> expired = new ArrayList<>();
     for (MemberTable.Entry entry : table.entries()) {
-      if (entry.member().state() == MemberState.SUSPECT
-          && nowMs - entry.sinceMs() >= timings.suspicionMs()) {
+      long suspectedMs = nowMs - entry.sinceMs();
+      if (entry.member().state() != MemberState.SUSPECT) {
+        continue;
+      }
+      if (suspectedMs >= timings.suspicionMs()) {
         expired.add(entry.member().nodeId());
+      } else if (suspectedMs >= timings.suspicionMs() / 2 && entry.beginVerification()) {
+        probe(entry.member(), null, 0, nowMs);
       }
     }
     expired.forEach(nodeId -> table.believe(nodeId, MemberState.DEAD, nowMs));
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
@@ -0,0 +1,215 @@
+package org.sycamoretrack.daemon.version;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.Resource;
+import org.sycamoretrack.core.version.ResourceKey;
+import org.sycamoretrack.core.version.Violation;
+import org.sycamoretrack.daemon.platform.TransactionResult;
+
+/**
+ * One change, from the request to its settled outcome. Confined to the control thread.
+ *
+ * <p>Each attempt reads the head, brings the node's configuration up to it, checks the precondition
+ * and the references against it, and commits. When another change came between, the next attempt
+ * begins. When the answer to the commit is lost, the same transaction is sent again: it names the
+ * same version of the head row, so it can take effect only once. A conflict then means that either
+ * the first sending took effect, which the head's recent changes show, or another change did, and
+ * the lost one never can.
+ *
+ * <p>Example: the commit at head row 7 has no answer. Sent again, it meets a conflict: the head row
+ * is at 8 and names this change. It was accepted.
+ */
+final class ChangeRun {
+  private static final int MAX_ATTEMPTS = 16;
+  private static final long RESEND_MS = 200;
+
+  /** What a run needs of the service. */
+  interface Host {
+    /** Returns the configuration in force. */
+    Configuration current();
+
+    /** Puts a newer configuration in force. */
+    void apply(Configuration next);
+
+    /** Runs an action when a call has ended, on the control thread. */
+    <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action);
+
+    /** Runs an action on the control thread later. */
+    void schedule(long delayMs, Runnable action);
+
+    /** Returns the time in milliseconds. */
+    long nowMs();
+  }
+
+  private final Host host;
+  private final ConfigurationStore store;
+  private final Change change;
+  private final String changeId;
+  private final long deadlineMs;
+  private final CompletableFuture<Configuration> result = new CompletableFuture<>();
+  private ConfigurationHead head;
+  private Configuration next;
+  private boolean unsettled;
+  private int attempts;
+
+  ChangeRun(Host host, ConfigurationStore store, Change change, String changeId, long deadlineMs) {
+    this.host = host;
+    this.store = store;
+    this.change = change;
+    this.changeId = changeId;
+    this.deadlineMs = deadlineMs;
+  }
+
+  CompletableFuture<Configuration> result() {
+    return result;
+  }
+
+  void attempt() {
+    if (++attempts > MAX_ATTEMPTS) {
+      fail(
+          new SycamoreException(
+              ErrorCode.OVERLOADED, Outcome.NOT_RUN, "too many changes at the same time"));
+      return;
+    }
+    host.onResult(store.readHead(), this::onHead);
+  }
+
+  private void onHead(ConfigurationHead read, Throwable failure) {
+    if (failure != null) {
+      fail(failure);
+      return;
+    }
+    head = read;
+    host.onResult(store.load(host.current(), head), this::onLoaded);
+  }
+
+  private void onLoaded(Configuration loaded, Throwable failure) {
+    if (failure != null) {
+      fail(failure);
+      return;
+    }
+    host.apply(loaded);
+    if (host.current().version() != head.version()) {
+      attempt();
+      return;
+    }
+    try {
+      check(host.current());
+    } catch (SycamoreException | VersionConflict e) {
+      result.completeExceptionally(e);
+      return;
+    }
+    next = change.applyTo(host.current(), head.version() + 1);
+    commit();
+  }
+
+  private void check(Configuration current) {
+    ResourceKey key = change.key();
+    Resource resource = current.resource(key.kind(), key.name()).orElse(null);
+    if (!change.precondition().holds(resource)) {
+      throw new VersionConflict(resource);
+    }
+    switch (change) {
+      case Change.Put put -> {
+        List<Violation> violations = current.checkReferences(put.resource());
+        if (!violations.isEmpty()) {
+          throw InvalidResources.of(violations);
+        }
+      }
+      case Change.Delete delete -> checkDelete(current, resource);
+    }
+  }
+
+  private void checkDelete(Configuration current, Resource resource) {
+    if (resource == null) {
+      throw new SycamoreException(
+          ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "there is no " + change.key());
+    }
+    List<ResourceKey> referrers = current.referrers(change.key());
+    if (!referrers.isEmpty()) {
+      throw new SycamoreException(
+          ErrorCode.INVALID_REQUEST,
+          Outcome.NOT_RUN,
+          change.key() + " is still named by " + referrers);
+    }
+  }
+
+  private void commit() {
+    host.onResult(store.commit(change, head, changeId), this::onCommitted);
+  }
+
+  private void onCommitted(TransactionResult answer, Throwable failure) {
+    if (failure != null) {
+      onCommitFailed(failure);
+      return;
+    }
+    switch (answer) {
+      case TransactionResult.Committed committed -> succeed();
+      case TransactionResult.Conflict conflict when unsettled ->
+          host.onResult(store.readHead(), this::settle);
+      case TransactionResult.Conflict conflict -> attempt();
+    }
+  }
+
+  private void onCommitFailed(Throwable failure) {
+    boolean notRun =
+        unwrap(failure) instanceof SycamoreException coded && coded.outcome() == Outcome.NOT_RUN;
+    if (notRun && !unsettled) {
+      fail(failure);
+      return;
+    }
+    unsettled = true;
+    retryUntilDeadline(this::commit);
+  }
+
+  private void settle(ConfigurationHead now, Throwable failure) {
+    if (failure != null) {
+      retryUntilDeadline(() -> host.onResult(store.readHead(), this::settle));
+    } else if (now.holds(changeId)) {
+      succeed();
+    } else if (now.reachesBackTo(head.version())) {
+      unsettled = false;
+      attempt();
+    } else {
+      fail(unknown());
+    }
+  }
+
+  private void retryUntilDeadline(Runnable retry) {
+    if (host.nowMs() < deadlineMs) {
+      host.schedule(RESEND_MS, retry);
+    } else {
+      fail(unknown());
+    }
+  }
+
+  private static SycamoreException unknown() {
+    return new SycamoreException(
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        Outcome.UNKNOWN,
+        "the platform did not tell whether the change took effect; read the resource again");
+  }
+
+  private void succeed() {
+    host.apply(next);
+    result.complete(next);
+  }
+
+  private void fail(Throwable failure) {
+    result.completeExceptionally(unwrap(failure));
+  }
+
+  private static Throwable unwrap(Throwable failure) {
+    return failure instanceof CompletionException && failure.getCause() != null
+        ? failure.getCause()
+        : failure;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/InvalidResources.java
@@ -0,0 +1,20 @@
+package org.sycamoretrack.daemon.version;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.version.Violation;
+
+/** Makes the error that lists all mistakes of a resource. */
+final class InvalidResources {
+  private InvalidResources() {}
+
+  static SycamoreException of(List<Violation> violations) {
+    return new SycamoreException(
+        ErrorCode.INVALID_REQUEST,
+        Outcome.NOT_RUN,
+        violations.stream().map(Violation::toString).collect(Collectors.joining("; ")));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ResourceCodec.java
@@ -0,0 +1,225 @@
+package org.sycamoretrack.daemon.version;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.version.PoolType;
+import org.sycamoretrack.core.version.Resource;
+import org.sycamoretrack.core.version.ResourceKind;
+import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.core.version.Selector;
+import org.sycamoretrack.core.version.Violation;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * Turns resources into JSON and back, in the form that {@code docs/API.md} gives.
+ *
+ * <p>{@link #parse} is strict, for what operators send. {@link #read} is lenient, for what the
+ * table and the peers hold: it ignores fields that a newer release may have added.
+ */
+public final class ResourceCodec {
+  private static final Set<String> DEFAULT_REPEATABLE_METHODS = Set.of("GET", "HEAD");
+  private static final String DEFAULT_SCORER_PATH = "/score";
+  private static final double DEFAULT_FLOOR_SHARE = 0.5;
+
+  private ResourceCodec() {}
+
+  /**
+   * Reads a resource from an operator.
+   *
+   * @param json the resource; its version is ignored
+   * @return the resource with version 0
+   * @throws SycamoreException with all mistakes
+   */
+  public static Resource parse(JsonNode json) {
+    Optional<ResourceKind> kind = ResourceKind.ofWireName(json.path("kind").asText());
+    if (kind.isEmpty()) {
+      throw InvalidResources.of(List.of(new Violation("/kind", "is not a kind of resource")));
+    }
+    List<Violation> violations = ResourceValidator.check(kind.get(), json);
+    if (!violations.isEmpty()) {
+      throw InvalidResources.of(violations);
+    }
+    return read(json).withVersion(0);
+  }
+
+  /**
+   * Reads a selector from an operator.
+   *
+   * @param json the selector
+   * @throws SycamoreException with all mistakes
+   */
+  public static Selector parseSelector(JsonNode json) {
+    List<Violation> violations = ResourceValidator.checkSelector(json);
+    if (!violations.isEmpty()) {
+      throw InvalidResources.of(violations);
+    }
+    return selector(json);
+  }
+
+  /**
+   * Reads a resource that was accepted before.
+   *
+   * @param json the resource
+   * @throws IllegalArgumentException when it can't be read
+   */
+  public static Resource read(JsonNode json) {
+    String kindName = json.path("kind").asText();
+    ResourceKind kind =
+        ResourceKind.ofWireName(kindName)
+            .orElseThrow(() -> new IllegalArgumentException("unknown kind " + kindName));
+    return new Resource(
+        json.path("name").asText(),
+        labels(json.path("labels")),
+        json.path("version").asLong(0),
+        spec(kind, json.path("spec")));
+  }
+
+  private static ResourceSpec spec(ResourceKind kind, JsonNode spec) {
+    return switch (kind) {
+      case TRACKS ->
+          new ResourceSpec.TrackSpec(
+              spec.path("trainerGroup").asText(),
+              spec.path("maxVersionLag").asInt(1),
+              spec.path("scorer").textValue(),
+              spec.path("share").asDouble(1));
+      case TRAINER_GROUPS -> new ResourceSpec.TrainerGroupSpec(selector(spec.path("poolSelector")));
+      case POOLS ->
+          new ResourceSpec.PoolSpec(
+              PoolType.valueOf(spec.path("type").asText().toUpperCase(Locale.ROOT)),
+              spec.path("model").textValue(),
+              spec.path("checksFence").asBoolean(false),
+              spec.path("floorShare").asDouble(DEFAULT_FLOOR_SHARE));
+      case ENDPOINTS ->
+          new ResourceSpec.EndpointSpec(
+              spec.path("pool").asText(),
+              spec.path("address").asText(),
+              spec.path("port").asInt(),
+              spec.path("zone").asText());
+      case SERVICES -> service(spec);
+      case DRAINS ->
+          new ResourceSpec.DrainSpec(ResourceKind.ENDPOINTS, selector(spec.path("selector")));
+    };
+  }
+
+  private static ResourceSpec.ServiceSpec service(JsonNode spec) {
+    Set<String> methods =
+        spec.has("repeatableMethods")
+            ? new TreeSet<>(strings(spec.get("repeatableMethods")))
+            : DEFAULT_REPEATABLE_METHODS;
+    return new ResourceSpec.ServiceSpec(
+        spec.path("pool").asText(), methods, spec.path("path").asText(DEFAULT_SCORER_PATH));
+  }
+
+  private static Map<String, String> labels(JsonNode json) {
+    Map<String, String> labels = new TreeMap<>();
+    json.properties().forEach(entry -> labels.put(entry.getKey(), entry.getValue().asText()));
+    return labels;
+  }
+
+  private static List<String> strings(JsonNode array) {
+    List<String> strings = new ArrayList<>();
+    array.forEach(item -> strings.add(item.asText()));
+    return strings;
+  }
+
+  private static Selector selector(JsonNode json) {
+    List<Selector.Requirement> requirements = new ArrayList<>();
+    for (JsonNode expression : json.path("matchExpressions")) {
+      requirements.add(
+          new Selector.Requirement(
+              expression.path("key").asText(),
+              operator(expression.path("operator").asText()),
+              new TreeSet<>(strings(expression.path("values")))));
+    }
+    return new Selector(labels(json.path("matchLabels")), requirements);
+  }
+
+  private static Selector.Operator operator(String wireName) {
+    for (Selector.Operator operator : Selector.Operator.values()) {
+      if (operator.wireName().equals(wireName)) {
+        return operator;
+      }
+    }
+    throw new IllegalArgumentException("unknown operator " + wireName);
+  }
+
+  /**
+   * Writes a resource, defaults filled in.
+   *
+   * @param resource the resource
+   */
+  public static ObjectNode write(Resource resource) {
+    ObjectNode json = Json.object();
+    json.put("kind", resource.kind().wireName()).put("name", resource.name());
+    json.set("labels", Json.mapper().valueToTree(resource.labels()));
+    json.put("version", resource.version());
+    json.set("spec", writeSpec(resource.spec()));
+    return json;
+  }
+
+  private static ObjectNode writeSpec(ResourceSpec spec) {
+    ObjectNode json = Json.object();
+    switch (spec) {
+      case ResourceSpec.TrackSpec track ->
+          json.put("trainerGroup", track.trainerGroup())
+              .put("maxVersionLag", track.maxVersionLag())
+              .put("scorer", track.scorer())
+              .put("share", track.share());
+      case ResourceSpec.TrainerGroupSpec group ->
+          json.set("poolSelector", writeSelector(group.poolSelector()));
+      case ResourceSpec.PoolSpec pool ->
+          json.put("type", pool.type().name().toLowerCase(Locale.ROOT))
+              .put("model", pool.model())
+              .put("checksFence", pool.checksFence())
+              .put("floorShare", pool.floorShare());
+      case ResourceSpec.EndpointSpec endpoint ->
+          json.put("pool", endpoint.pool())
+              .put("address", endpoint.address())
+              .put("port", endpoint.port())
+              .put("zone", endpoint.zone());
+      case ResourceSpec.ServiceSpec service -> {
+        json.put("pool", service.pool());
+        json.set("repeatableMethods", Json.mapper().valueToTree(service.repeatableMethods()));
+        json.put("path", service.path());
+      }
+      case ResourceSpec.DrainSpec drain -> {
+        json.put("kind", drain.drainedKind().wireName());
+        json.set("selector", writeSelector(drain.selector()));
+      }
+    }
+    return json;
+  }
+
+  private static ObjectNode writeSelector(Selector selector) {
+    ObjectNode json = Json.object();
+    json.set("matchLabels", Json.mapper().valueToTree(selector.matchLabels()));
+    ArrayNode expressions = json.putArray("matchExpressions");
+    for (Selector.Requirement requirement : selector.matchExpressions()) {
+      ObjectNode expression = expressions.addObject();
+      expression.put("key", requirement.key()).put("operator", requirement.operator().wireName());
+      expression.set("values", Json.mapper().valueToTree(requirement.values()));
+    }
+    return json;
+  }
+
+  /**
+   * Writes resources as a JSON array.
+   *
+   * @param resources the resources
+   */
+  public static ArrayNode writeAll(Iterable<Resource> resources) {
+    ArrayNode array = Json.mapper().createArrayNode();
+    resources.forEach(resource -> array.add(write(resource)));
+    return array;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ResourceValidator.java
@@ -0,0 +1,86 @@
+package org.sycamoretrack.daemon.version;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.core.version.ResourceKind;
+import org.sycamoretrack.core.version.Violation;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * Checks resources in JSON against the schema that ships with the program.
+ *
+ * <p>All mistakes are found at once, each with the JSON pointer of its place. Fields that the
+ * schema does not know are mistakes.
+ */
+final class ResourceValidator {
+  private static final String SCHEMA_FILE = "resources.schema.json";
+  private static final Map<ResourceKind, Schema> SCHEMAS = loadSchemas();
+  private static final Schema SELECTOR_SCHEMA = compile(loadDefinitions(), "selector");
+
+  private ResourceValidator() {}
+
+  private static JsonNode loadDefinitions() {
+    try (InputStream in = ResourceValidator.class.getResourceAsStream(SCHEMA_FILE)) {
+      return Json.parse(in.readAllBytes()).get("$defs");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static Map<ResourceKind, Schema> loadSchemas() {
+    JsonNode definitions = loadDefinitions();
+    Map<ResourceKind, Schema> schemas = new EnumMap<>(ResourceKind.class);
+    for (ResourceKind kind : ResourceKind.values()) {
+      schemas.put(kind, compile(withEnvelope(definitions, kind), "resource"));
+    }
+    return schemas;
+  }
+
+  /** Adds the definition of a whole resource of a kind to the definitions. */
+  private static JsonNode withEnvelope(JsonNode definitions, ResourceKind kind) {
+    ObjectNode all = definitions.deepCopy();
+    ObjectNode resource = all.putObject("resource").put("type", "object");
+    ObjectNode properties = resource.putObject("properties");
+    properties.putObject("kind").put("const", kind.wireName());
+    properties.putObject("name").put("$ref", "#/$defs/name");
+    properties.putObject("labels").put("$ref", "#/$defs/labels");
+    properties.putObject("version").put("type", "integer").put("minimum", 0);
+    properties.putObject("spec").put("$ref", "#/$defs/" + kind.wireName());
+    resource.putArray("required").add("kind").add("name").add("spec");
+    resource.put("additionalProperties", false);
+    return all;
+  }
+
+  private static Schema compile(JsonNode definitions, String root) {
+    ObjectNode schema = Json.object().put("$ref", "#/$defs/" + root);
+    schema.set("$defs", definitions);
+    return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(schema);
+  }
+
+  static List<Violation> check(ResourceKind kind, JsonNode resource) {
+    return violations(SCHEMAS.get(kind), resource);
+  }
+
+  static List<Violation> checkSelector(JsonNode selector) {
+    return violations(SELECTOR_SCHEMA, selector);
+  }
+
+  private static List<Violation> violations(Schema schema, JsonNode json) {
+    List<Violation> violations = new ArrayList<>();
+    for (com.networknt.schema.Error error : schema.validate(json)) {
+      String pointer = error.getInstanceLocation().toString();
+      violations.add(new Violation(pointer.startsWith("/") ? pointer : "", error.getMessage()));
+    }
+    return violations;
+  }
+}
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/VirtualNetwork.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/VirtualNetwork.java
@@ -22,6 +22,7 @@
 /** Members on a network with a clock of its own, delays, loss, partitions and pauses. */
 final class VirtualNetwork {
   private static final long TICK_MS = 50;
+  private static final long STEP_MS = 50;
 
   final Map<String, Membership> nodes = new TreeMap<>();
   final Map<String, Long> bytesSent = new HashMap<>();
@@ -119,10 +120,12 @@
   long runUntil(long maxMs, java.util.function.BooleanSupplier condition) {
     long startMs = nowMs;
     while (nowMs < startMs + maxMs && !condition.getAsBoolean()) {
-      nowMs += 10;
-      while (!events.isEmpty() && events.peek().atMs() <= nowMs) {
+      long endMs = nowMs + STEP_MS;
+      while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+        nowMs = events.peek().atMs();
         deliver(events.poll());
       }
+      nowMs = endMs;
     }
     return nowMs - startMs;
   }
