Add the configuration service and the operator port

A change is accepted when one transaction has put its row and the head row, which names the head's version. A resource row needs no condition of its own, since the head's serialises all changes. A lost commit is sent again as it was; naming the same head version, it takes effect once. Waiting and reading back alone was ruled out, as a write that is still on its way would then be missed.

--- a/core/src/main/java/org/sycamoretrack/core/version/Configuration.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/Configuration.java
@@ -244,4 +244,32 @@
   public List<ResourceKey> referrers(ResourceKey key) {
     return new References(this).referrers(key);
   }
+
+  /**
+   * Returns the resources that are new or changed since an older configuration.
+   *
+   * @param older the older one
+   */
+  public List<Resource> changedSince(Configuration older) {
+    return resources().stream()
+        .filter(
+            resource ->
+                older
+                    .resource(resource.kind(), resource.name())
+                    .filter(before -> before.version() == resource.version())
+                    .isEmpty())
+        .toList();
+  }
+
+  /**
+   * Returns the resources that were removed since an older configuration.
+   *
+   * @param older the older one
+   */
+  public List<ResourceKey> removedSince(Configuration older) {
+    return older.resources().stream()
+        .filter(resource -> resource(resource.kind(), resource.name()).isEmpty())
+        .map(ResourceKey::of)
+        .toList();
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/OperatorApi.java
@@ -0,0 +1,202 @@
+package org.sycamoretrack.daemon.process;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.request.ErrorAnswers;
+import org.sycamoretrack.daemon.version.ConfigurationService;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * Answers the calls on the operator port.
+ *
+ * <p>Calls other than {@code /healthz} and {@code /readyz} need the bearer token when there is one;
+ * it is compared in constant time, so that its bytes can't be guessed one by one from answer times.
+ */
+public final class OperatorApi implements HttpHandler {
+  private static final String BEARER = "Bearer ";
+  private static final String RESOURCES = "/v1/resources/";
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+  private final ResourceApi resources;
+  private final byte[] token;
+  private final Supplier<String> metrics;
+  private final BooleanSupplier ready;
+  private final List<StateSource> sources = new CopyOnWriteArrayList<>();
+
+  private OperatorApi(Builder builder) {
+    this.resources = new ResourceApi(Objects.requireNonNull(builder.configuration));
+    this.token = builder.token == null ? null : builder.token.getBytes(StandardCharsets.UTF_8);
+    this.metrics = Objects.requireNonNull(builder.metrics);
+    this.ready = Objects.requireNonNull(builder.ready);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /**
+   * Adds a part of the state dump.
+   *
+   * @param source the part
+   */
+  public void register(StateSource source) {
+    sources.add(source);
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    try {
+      route(exchange);
+    } catch (SycamoreException e) {
+      exchange.respond(ErrorAnswers.answer(e));
+    }
+  }
+
+  private void route(HttpExchange exchange) {
+    String path = exchange.path();
+    switch (path) {
+      case "/healthz" -> answerGet(exchange, () -> HttpAnswer.json(200, status("ok")));
+      case "/readyz" -> answerGet(exchange, this::readiness);
+      default -> {
+        authenticate(exchange);
+        routeAuthenticated(exchange, path);
+      }
+    }
+  }
+
+  private void routeAuthenticated(HttpExchange exchange, String path) {
+    switch (path) {
+      case "/metrics" ->
+          answerGet(exchange, () -> HttpAnswer.text(200, METRICS_TYPE, metrics.get()));
+      case "/state" -> answerGet(exchange, () -> HttpAnswer.json(200, state()));
+      case "/v1/configuration" -> answerGet(exchange, resources::configuration);
+      default -> {
+        if (!path.startsWith(RESOURCES)) {
+          throw notFound("there is nothing at " + path);
+        }
+        resources.handle(exchange, path.substring(RESOURCES.length()));
+      }
+    }
+  }
+
+  private static void answerGet(HttpExchange exchange, Supplier<HttpAnswer> answer) {
+    if (!exchange.method().equals("GET")) {
+      throw methodNotAllowed(exchange.method());
+    }
+    exchange.respond(answer.get());
+  }
+
+  private HttpAnswer readiness() {
+    boolean isReady = ready.getAsBoolean();
+    return HttpAnswer.json(isReady ? 200 : 503, status(isReady ? "ready" : "not-ready"));
+  }
+
+  private static ObjectNode status(String status) {
+    return Json.object().put("status", status);
+  }
+
+  private ObjectNode state() {
+    ObjectNode state = Json.object();
+    for (StateSource source : sources) {
+      state.set(source.name(), source.state());
+    }
+    return state;
+  }
+
+  private void authenticate(HttpExchange exchange) {
+    if (token == null) {
+      return;
+    }
+    String header = exchange.headers().get("authorization", "");
+    String given = header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
+    if (!MessageDigest.isEqual(token, given.getBytes(StandardCharsets.UTF_8))) {
+      throw new SycamoreException(
+          ErrorCode.UNAUTHENTICATED, Outcome.NOT_RUN, "a valid bearer token is needed");
+    }
+  }
+
+  static SycamoreException notFound(String message) {
+    return new SycamoreException(ErrorCode.NOT_FOUND, Outcome.NOT_RUN, message);
+  }
+
+  static SycamoreException methodNotAllowed(String method) {
+    return new SycamoreException(
+        ErrorCode.METHOD_NOT_ALLOWED, Outcome.NOT_RUN, method + " is not offered here");
+  }
+
+  static SycamoreException invalid(String message) {
+    return new SycamoreException(ErrorCode.INVALID_REQUEST, Outcome.NOT_RUN, message);
+  }
+
+  /** Builds an {@link OperatorApi}. */
+  public static final class Builder {
+    private ConfigurationService configuration;
+    private String token;
+    private Supplier<String> metrics = () -> "";
+    private BooleanSupplier ready = () -> true;
+
+    private Builder() {}
+
+    /**
+     * Sets what makes the changes.
+     *
+     * @param configuration the service
+     * @return this builder
+     */
+    public Builder configuration(ConfigurationService configuration) {
+      this.configuration = configuration;
+      return this;
+    }
+
+    /**
+     * Sets the token that operators must show.
+     *
+     * @param token the token, or null when none is needed
+     * @return this builder
+     */
+    public Builder token(String token) {
+      this.token = token;
+      return this;
+    }
+
+    /**
+     * Sets the source of metrics.
+     *
+     * @param metrics returns them as Prometheus text; called on an event loop
+     * @return this builder
+     */
+    public Builder metrics(Supplier<String> metrics) {
+      this.metrics = metrics;
+      return this;
+    }
+
+    /**
+     * Sets the source of readiness.
+     *
+     * @param ready returns whether the node takes new work
+     * @return this builder
+     */
+    public Builder ready(BooleanSupplier ready) {
+      this.ready = ready;
+      return this;
+    }
+
+    /** Returns the handler. */
+    public OperatorApi build() {
+      return new OperatorApi(this);
+    }
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
@@ -84,7 +84,7 @@
 
   private void onHead(ConfigurationHead read, Throwable failure) {
     if (failure != null) {
-      fail(failure);
+      fail(notReached(failure));
       return;
     }
     head = read;
@@ -93,7 +93,7 @@
 
   private void onLoaded(Configuration loaded, Throwable failure) {
     if (failure != null) {
-      fail(failure);
+      fail(notReached(failure));
       return;
     }
     host.apply(loaded);
@@ -191,6 +191,14 @@
     }
   }
 
+  /** Says that a read failed: nothing was written. */
+  private static SycamoreException notReached(Throwable failure) {
+    return new SycamoreException(
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        Outcome.NOT_RUN,
+        "the table can't be read: " + unwrap(failure).getMessage());
+  }
+
   private static SycamoreException unknown() {
     return new SycamoreException(
         ErrorCode.PLATFORM_UNAVAILABLE,
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
@@ -0,0 +1,346 @@
+package org.sycamoretrack.daemon.version;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.Member;
+import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.RendezvousHash;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.process.ControlAgent;
+import org.sycamoretrack.daemon.process.ControlInbox;
+import org.sycamoretrack.daemon.process.LogEvent;
+
+/**
+ * Keeps the configuration in force on this node, and makes the changes that operators ask of it.
+ *
+ * <p>A change is accepted when its transaction on the table has committed; {@link ChangeRun}
+ * settles that. A node that puts a new version in force announces it to a few peers, which pull it
+ * and announce it in turn. Versions also ride on the probes of the membership, so that a node which
+ * missed the announcement, or was cut off, pulls from any peer that is ahead. One node of each zone
+ * reads the head row now and then, in case the node that made a change died before it announced it;
+ * a node that has no configuration yet reads it at once.
+ *
+ * <p>Invariant: the version in force on a node never falls, and only accepted versions are passed
+ * on. So a node that comes back with an old configuration can't revert anyone.
+ *
+ * <p>Example: a change makes version 8 on a. a announces 8 to b and c. b has 7, pulls, and is sent
+ * the one changed resource. c, which just started, has 0 and is sent everything.
+ */
+public final class ConfigurationService {
+  private static final System.Logger LOGGER =
+      System.getLogger(ConfigurationService.class.getName());
+  private static final int MAX_CHANGES_WAITING = 64;
+  private static final long CHANGE_TIMEOUT_MS = 10_000;
+  private static final long CHECK_PERIOD_MS = 500;
+  private static final long POLL_PERIOD_MS = 5_000;
+  private static final long PULL_TIMEOUT_MS = 1_000;
+  private static final double JITTER_SHARE = 0.2;
+  private static final int ZONE_FANOUT = 3;
+  private static final int REMOTE_FANOUT = 2;
+  private static final String POLL_KEY = "configuration-poll";
+
+  private final ControlAgent control;
+  private final ControlInbox inbox;
+  private final PeerLink link;
+  private final Supplier<MembershipView> members;
+  private final ConfigurationStore store;
+  private final Random random;
+  private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+  private final ConfigurationLog log = new ConfigurationLog();
+  private final Deque<ChangeRun> waiting = new ArrayDeque<>();
+  private volatile Configuration current = Configuration.EMPTY;
+  private volatile boolean loaded;
+  private ChangeRun running;
+  private long pullDeadlineMs;
+  private boolean polling;
+
+  /**
+   * Creates a service, which does nothing until {@link #start}.
+   *
+   * @param control runs it
+   * @param link carries announcements and updates
+   * @param members returns the members as seen now
+   * @param table where accepted configurations are
+   * @param random the source of random choices, used on the control thread only
+   */
+  public ConfigurationService(
+      ControlAgent control,
+      PeerLink link,
+      Supplier<MembershipView> members,
+      TableStore table,
+      Random random) {
+    this.control = Objects.requireNonNull(control, "control");
+    this.inbox = new ControlInbox(control::execute);
+    this.link = Objects.requireNonNull(link, "link");
+    this.members = Objects.requireNonNull(members, "members");
+    this.store = new ConfigurationStore(table);
+    this.random = Objects.requireNonNull(random, "random");
+  }
+
+  /** Starts to look for the configuration, and to answer peers. */
+  public void start() {
+    link.onMessage(
+        ConfigMessage.Announce.TYPE,
+        ConfigMessage.Announce::read,
+        (from, announce) -> control.execute(() -> onAnnounce(from, announce.version())));
+    link.onMessage(
+        ConfigMessage.Pull.TYPE,
+        ConfigMessage.Pull::read,
+        (from, pull) -> control.execute(() -> onPull(from, pull.version())));
+    link.onMessage(
+        ConfigMessage.Update.TYPE,
+        ConfigMessage.Update::read,
+        (from, update) -> control.execute(() -> onUpdate(from, update)));
+    control.scheduleAtFixedRate("config-check", CHECK_PERIOD_MS, JITTER_SHARE, this::check);
+    control.scheduleAtFixedRate("config-poll", POLL_PERIOD_MS, JITTER_SHARE, this::pollInTurn);
+  }
+
+  /** Returns the configuration in force. May be called from any thread. */
+  public Configuration current() {
+    return current;
+  }
+
+  /**
+   * Returns whether the node has learned the accepted configuration, from the table or a peer,
+   * since it started.
+   */
+  public boolean isLoaded() {
+    return loaded;
+  }
+
+  /**
+   * Adds a listener of new configurations.
+   *
+   * @param listener called on the control thread
+   */
+  public void onChange(Consumer<Configuration> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Makes a change. May be called from any thread.
+   *
+   * @param change the change
+   * @return the configuration that it made, in force on this node; fails with {@link
+   *     VersionConflict} when the precondition does not hold and with {@link SycamoreException}
+   *     when the change is wrong, was not made, or may have been made (outcome {@code UNKNOWN})
+   */
+  public CompletionStage<Configuration> change(Change change) {
+    ChangeRun run =
+        new ChangeRun(
+            new RunHost(),
+            store,
+            change,
+            UUID.randomUUID().toString(),
+            nowMs() + CHANGE_TIMEOUT_MS);
+    if (!control.execute(() -> enqueue(run))) {
+      return CompletableFuture.failedStage(overloaded());
+    }
+    return run.result();
+  }
+
+  /**
+   * Checks what a change refers to, without making it.
+   *
+   * @param change the change
+   * @throws SycamoreException with all mistakes
+   */
+  public void validate(Change change) {
+    if (change instanceof Change.Put put) {
+      var violations = current.checkReferences(put.resource());
+      if (!violations.isEmpty()) {
+        throw InvalidResources.of(violations);
+      }
+    }
+  }
+
+  private static SycamoreException overloaded() {
+    return new SycamoreException(
+        ErrorCode.OVERLOADED, Outcome.NOT_RUN, "too many changes are waiting");
+  }
+
+  private void enqueue(ChangeRun run) {
+    if (waiting.size() >= MAX_CHANGES_WAITING) {
+      run.result().completeExceptionally(overloaded());
+      return;
+    }
+    waiting.addLast(run);
+    runNext();
+  }
+
+  private void runNext() {
+    if (running != null || waiting.isEmpty()) {
+      return;
+    }
+    running = waiting.pollFirst();
+    inbox.onResult(
+        running.result(),
+        (configuration, failure) -> {
+          running = null;
+          runNext();
+        });
+    running.attempt();
+  }
+
+  /** Puts a configuration in force unless it is not newer. */
+  private void apply(Configuration next) {
+    loaded = true;
+    if (next.version() <= current.version()) {
+      return;
+    }
+    LOGGER.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("configuration-applied")
+            .with("version", next.version())
+            .with("before", current.version()));
+    log.add(current);
+    current = next;
+    listeners.forEach(listener -> listener.accept(next));
+    announce();
+  }
+
+  private void announce() {
+    MembershipView view = members.get();
+    String zone = view.self().zone();
+    List<String> near = new ArrayList<>();
+    List<String> far = new ArrayList<>();
+    for (Member member : view.alive()) {
+      if (!member.nodeId().equals(view.self().nodeId())) {
+        (member.zone().equals(zone) ? near : far).add(member.nodeId());
+      }
+    }
+    sendAnnouncements(near, ZONE_FANOUT);
+    sendAnnouncements(far, REMOTE_FANOUT);
+  }
+
+  private void sendAnnouncements(List<String> receivers, int max) {
+    Collections.shuffle(receivers, random);
+    ConfigMessage.Announce announce = new ConfigMessage.Announce(current.version());
+    receivers.stream().limit(max).forEach(receiver -> link.send(receiver, announce));
+  }
+
+  private void onAnnounce(String from, long version) {
+    if (version > current.version()) {
+      pull(from);
+    }
+  }
+
+  private void pull(String from) {
+    if (nowMs() >= pullDeadlineMs && link.send(from, new ConfigMessage.Pull(current.version()))) {
+      pullDeadlineMs = nowMs() + PULL_TIMEOUT_MS;
+    }
+  }
+
+  private void onPull(String from, long version) {
+    if (loaded && current.version() >= version) {
+      link.send(from, log.updateFrom(version, current));
+    }
+  }
+
+  private void onUpdate(String from, ConfigMessage.Update update) {
+    pullDeadlineMs = 0;
+    if (update.base() == ConfigMessage.Update.FULL) {
+      apply(new Configuration(update.version(), update.changed()));
+    } else if (update.base() == current.version()) {
+      apply(current.apply(update.version(), update.changed(), update.removed()));
+    } else if (update.version() > current.version()) {
+      pull(from);
+    }
+  }
+
+  /** Pulls from a member that is ahead, or asks anyone and the table while nothing is known. */
+  private void check() {
+    inbox.drain();
+    MembershipView view = members.get();
+    Optional<Member> ahead =
+        view.members().stream()
+            .filter(member -> member.configVersion() > current.version())
+            .filter(member -> link.isWritable(member.nodeId()))
+            .findFirst();
+    if (ahead.isPresent()) {
+      pull(ahead.get().nodeId());
+    } else if (!loaded) {
+      List<String> peers = new ArrayList<>(link.connectedPeers());
+      if (!peers.isEmpty()) {
+        pull(peers.get(random.nextInt(peers.size())));
+      }
+      poll();
+    }
+  }
+
+  private void pollInTurn() {
+    MembershipView view = members.get();
+    Optional<String> poller = RendezvousHash.owner(POLL_KEY, view.aliveIds(view.self().zone()));
+    if (poller.isEmpty() || poller.get().equals(view.self().nodeId())) {
+      poll();
+    }
+  }
+
+  private void poll() {
+    if (polling) {
+      return;
+    }
+    polling = true;
+    CompletionStage<Configuration> read =
+        store.readHead().thenCompose(head -> store.load(current, head));
+    inbox.onResult(
+        read,
+        (configuration, failure) -> {
+          polling = false;
+          if (failure == null) {
+            apply(configuration);
+          }
+        });
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Lends the service to the change that is running. */
+  private final class RunHost implements ChangeRun.Host {
+    @Override
+    public Configuration current() {
+      return current;
+    }
+
+    @Override
+    public void apply(Configuration next) {
+      ConfigurationService.this.apply(next);
+    }
+
+    @Override
+    public <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action) {
+      inbox.onResult(stage, action);
+    }
+
+    @Override
+    public void schedule(long delayMs, Runnable action) {
+      control.schedule("config-change", delayMs, action);
+    }
+
+    @Override
+    public long nowMs() {
+      return ConfigurationService.nowMs();
+    }
+  }
+}
