--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/MembershipModel.java
@@ -0,0 +1,200 @@
+package org.sycamoretrack.bench.process;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.sycamoretrack.bench.connection.VirtualTime;
+import org.sycamoretrack.core.process.Member;
+import org.sycamoretrack.core.process.MemberState;
+import org.sycamoretrack.core.process.Membership;
+import org.sycamoretrack.core.process.MembershipTimings;
+import org.sycamoretrack.core.process.SwimMessage;
+import org.sycamoretrack.core.process.SwimMessage.Envelope;
+
+/**
+ * The membership of many nodes in one process and in virtual time, over a network that only delays.
+ *
+ * <p>Counts what a node sends, and the processor time that all of them take in real time. A node
+ * takes over a version of the configuration when a probe or its answer names a higher one.
+ */
+final class MembershipModel {
+  private static final double TICK_MS = 50;
+  private static final double ZONE_DELAY_MS = 1;
+  private static final double REGION_DELAY_MS = 20;
+  private static final double PULL_MS = 50;
+
+  private final VirtualTime time = new VirtualTime();
+  private final List<Membership> nodes = new ArrayList<>();
+  private final List<Member> members = new ArrayList<>();
+  private final long[] configVersions;
+  private final Set<Integer> stopped = new HashSet<>();
+  private long messages;
+  private long bytes;
+  private long busyNs;
+
+  MembershipModel(int size, long seed) {
+    configVersions = new long[size];
+    for (int i = 0; i < size; i++) {
+      members.add(member(i));
+    }
+    for (int i = 0; i < size; i++) {
+      Random random = new Random(seed * 10_007 + i);
+      Membership node =
+          new Membership(members.get(i), MembershipTimings.DEFAULT, random, time.nowWholeMs());
+      nodes.add(node);
+      int index = i;
+      time.after(random.nextDouble() * TICK_MS, () -> tick(index));
+    }
+    SwimMessage all = new SwimMessage.Snapshot(List.copyOf(members), false);
+    nodes.forEach(node -> node.onMessage(members.getFirst().nodeId(), all, 0));
+  }
+
+  private static Member member(int index) {
+    int zone = index % LetterSize.ZONES;
+    String address = "10." + zone + "." + index / 256 + "." + index % 256 + ":7101";
+    String region = zone < LetterSize.ZONES / 2 ? "svealand" : "south-coast";
+    return new Member("node-" + index, "zone-" + zone, region, address, 1, 1, MemberState.ALIVE, 0);
+  }
+
+  /** Lets time pass. */
+  void run(double durationMs) {
+    time.runUntil(time.nowMs() + durationMs);
+  }
+
+  void resetCounts() {
+    messages = 0;
+    bytes = 0;
+    busyNs = 0;
+  }
+
+  void stop(int index) {
+    stopped.add(index);
+  }
+
+  /** Stops the nodes of the last zone. */
+  int stopZone() {
+    int count = 0;
+    for (int i = LetterSize.ZONES - 1; i < nodes.size(); i += LetterSize.ZONES) {
+      stop(i);
+      count++;
+    }
+    return count;
+  }
+
+  /** Returns the time until no node that runs takes a stopped one for alive, at most a minute. */
+  double untilStoppedAreKnownMs() {
+    double startMs = time.nowMs();
+    while (time.nowMs() < startMs + 60_000 && !stoppedAreKnown()) {
+      run(TICK_MS);
+    }
+    return time.nowMs() - startMs;
+  }
+
+  private boolean stoppedAreKnown() {
+    for (int i = 0; i < nodes.size(); i++) {
+      if (!stopped.contains(i)) {
+        for (int gone : stopped) {
+          if (nodes.get(i).view().isAlive(members.get(gone).nodeId())) {
+            return false;
+          }
+        }
+      }
+    }
+    return true;
+  }
+
+  /** Accepts a version on one node and returns the time until it is in force on all that run. */
+  double untilVersionIsInForceMs(long version) {
+    double startMs = time.nowMs();
+    adopt(0, version);
+    while (time.nowMs() < startMs + 60_000 && !isInForce(version)) {
+      run(1);
+    }
+    return time.nowMs() - startMs;
+  }
+
+  private boolean isInForce(long version) {
+    for (int i = 0; i < configVersions.length; i++) {
+      if (!stopped.contains(i) && configVersions[i] < version) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void adopt(int index, long version) {
+    if (version > configVersions[index]) {
+      configVersions[index] = version;
+      nodes.get(index).setConfigVersion(version);
+    }
+  }
+
+  /** Returns the pairs of running nodes of which one doesn't take the other for alive. */
+  int falseSuspicions() {
+    int count = 0;
+    for (int i = 0; i < nodes.size(); i++) {
+      for (int j = 0; j < nodes.size() && !stopped.contains(i); j++) {
+        boolean runs = !stopped.contains(j);
+        count += runs && !nodes.get(i).view().isAlive(members.get(j).nodeId()) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  double messagesPerNode(double durationMs) {
+    return messages / (durationMs / 1_000) / (nodes.size() - stopped.size());
+  }
+
+  double bytesPerNode(double durationMs) {
+    return bytes / (durationMs / 1_000) / (nodes.size() - stopped.size());
+  }
+
+  /** Returns the share of a core that a node takes. */
+  double cpuShare(double durationMs) {
+    return busyNs / (durationMs * 1e6) / (nodes.size() - stopped.size());
+  }
+
+  private void tick(int index) {
+    if (stopped.contains(index)) {
+      return;
+    }
+    long startNs = System.nanoTime();
+    List<Envelope> out = nodes.get(index).onTick(time.nowWholeMs());
+    busyNs += System.nanoTime() - startNs;
+    send(index, out);
+    time.after(TICK_MS, () -> tick(index));
+  }
+
+  private void send(int from, List<Envelope> envelopes) {
+    for (Envelope envelope : envelopes) {
+      int to = Integer.parseInt(envelope.to().substring("node-".length()));
+      messages++;
+      bytes += SwimFrameSize.bytes(envelope.message());
+      boolean near = members.get(from).region().equals(members.get(to).region());
+      double delayMs = near ? ZONE_DELAY_MS : REGION_DELAY_MS;
+      time.after(delayMs, () -> receive(from, to, envelope.message()));
+    }
+  }
+
+  private void receive(int from, int to, SwimMessage message) {
+    if (stopped.contains(to)) {
+      return;
+    }
+    long version =
+        switch (message) {
+          case SwimMessage.Ping ping -> ping.configVersion();
+          case SwimMessage.Ack ack -> ack.configVersion();
+          default -> 0;
+        };
+    if (version > configVersions[to]) {
+      time.after(PULL_MS, () -> adopt(to, version));
+    }
+    long startNs = System.nanoTime();
+    List<Envelope> out =
+        nodes.get(to).onMessage(members.get(from).nodeId(), message, time.nowWholeMs());
+    busyNs += System.nanoTime() - startNs;
+    send(to, out);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/RoleCosts.java
@@ -0,0 +1,336 @@
+package org.sycamoretrack.bench.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import org.sycamoretrack.core.connection.EndpointSelector;
+import org.sycamoretrack.core.connection.EndpointStats;
+import org.sycamoretrack.core.connection.EndpointView;
+import org.sycamoretrack.core.connection.RequestTraits;
+import org.sycamoretrack.core.process.RendezvousHash;
+import org.sycamoretrack.core.request.AdmissionQueue;
+import org.sycamoretrack.core.request.ClaimLedger;
+import org.sycamoretrack.core.request.ClaimLimits;
+import org.sycamoretrack.core.request.Flow;
+import org.sycamoretrack.core.request.GroupSpec;
+import org.sycamoretrack.core.request.InFlight;
+import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.core.request.RequestClass;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.SlotBitmap;
+import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.request.StepState;
+import org.sycamoretrack.core.request.StragglerPolicy;
+import org.sycamoretrack.core.request.VersionSpan;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.PoolType;
+import org.sycamoretrack.core.version.Resource;
+import org.sycamoretrack.core.version.ResourceSpec;
+
+/** Measures the core classes of each role at several sizes. */
+final class RoleCosts {
+  private static final String ZONE = "zone-0";
+  private static final int NODES_IN_ZONE = LetterSize.NODES / LetterSize.ZONES;
+  private static final int OWN_ENDPOINTS = LetterSize.SAMPLERS / LetterSize.NODES;
+  private static final double CHANGES_PER_S = LetterSize.CHANGES_PER_DAY / LetterSize.S_PER_DAY;
+  private static final double MEMBER_EVENTS_PER_S =
+      LetterSize.MEMBER_EVENTS_PER_DAY / LetterSize.S_PER_DAY;
+  private static final double ROUTE_BUILDS_PER_S = 10;
+  private static final double STRAGGLER_CHECKS_PER_S = 5;
+  private static final double POLLS_PER_S = 1;
+  private static final double KEYED_SHARE = 0.05;
+  private static final int CLAIM_RANGES = 64;
+  private static final int LOAD_BYTES = 20;
+  private static final int LOAD_RECEIVERS = 6;
+  private static final int HEADER_BYTES = 52;
+  private static final int CHANGE_BYTES = 400;
+  private static final int SAMPLE_CHARS = 2_000;
+
+  private RoleCosts() {}
+
+  static List<RoleCost> all(int[] samplerCounts) {
+    List<RoleCost> costs = new ArrayList<>();
+    for (int samplers : samplerCounts) {
+      costs.add(routing(samplers));
+    }
+    for (int samplers : samplerCounts) {
+      costs.add(ownership(samplers));
+    }
+    for (int samplers : samplerCounts) {
+      costs.add(configuration(samplers));
+    }
+    costs.add(queue());
+    costs.add(tokens());
+    costs.add(loads());
+    costs.add(stepPoll());
+    costs.add(stragglers());
+    costs.add(claims());
+    return costs;
+  }
+
+  private static double atLetter(int samplers, double perSecond) {
+    return samplers == LetterSize.SAMPLERS ? perSecond : 0;
+  }
+
+  private static RoleCost routing(int samplers) {
+    Supplier<List<EndpointView>> factory =
+        () -> IntStream.range(0, samplers).mapToObj(RoleCosts::view).toList();
+    List<EndpointView> views = factory.get();
+    EndpointSelector selector = new EndpointSelector(new SplittableRandom(1));
+    RequestTraits traits =
+        new RequestTraits(RequestClass.INTERACTIVE, ZONE, 4_711, 0, 100, Set.of());
+    double micros = Stopwatch.micros(() -> selector.choose(views, traits, 1_000));
+    double perSecond = (LetterSize.REQUESTS_PER_S + LetterSize.samplesPerS()) / LetterSize.NODES;
+    double megabytes = Stopwatch.megabytes(factory);
+    return new RoleCost(
+        "routing",
+        "choose an endpoint among all",
+        samplers,
+        micros,
+        atLetter(samplers, perSecond),
+        megabytes,
+        0,
+        false);
+  }
+
+  private static EndpointView view(int index) {
+    return EndpointView.builder("sampler-" + index, "zone-" + index % LetterSize.ZONES)
+        .limit(64)
+        .inFlight(index % 60)
+        .timePerTokenMs(20 + index % 7)
+        .servedVersion(1)
+        .build();
+  }
+
+  private static RoleCost ownership(int samplers) {
+    List<String> nodes = IntStream.range(0, NODES_IN_ZONE).mapToObj(i -> "node-" + i).toList();
+    double micros =
+        Stopwatch.micros(
+            () -> {
+              Object last = null;
+              for (int i = 0; i < samplers; i++) {
+                last = RendezvousHash.owner("endpoint/sampler-" + i, nodes);
+              }
+              return last;
+            });
+    double perSecond = CHANGES_PER_S + MEMBER_EVENTS_PER_S;
+    return new RoleCost(
+        "routing",
+        "assign all endpoints to owners",
+        samplers,
+        micros,
+        atLetter(samplers, perSecond),
+        0,
+        0,
+        true);
+  }
+
+  private static RoleCost configuration(int samplers) {
+    Supplier<Configuration> factory = () -> configurationOf(samplers);
+    Configuration configuration = factory.get();
+    Resource changed = endpoint(3, "pool-1").withVersion(8);
+    double micros = Stopwatch.micros(() -> configuration.with(8, changed));
+    // The old and the new configuration are alive at the same time while one is taken over.
+    double megabytes = Stopwatch.megabytes(factory);
+    return new RoleCost(
+        "configuration",
+        "take over a change",
+        samplers,
+        micros,
+        atLetter(samplers, CHANGES_PER_S),
+        megabytes,
+        samplers == LetterSize.SAMPLERS ? CHANGES_PER_S * (CHANGE_BYTES + 2 * HEADER_BYTES) : 0,
+        true);
+  }
+
+  private static Configuration configurationOf(int samplers) {
+    List<Resource> resources = new ArrayList<>();
+    int pools = Math.max(1, samplers / 100);
+    for (int i = 0; i < pools; i++) {
+      ResourceSpec spec = new ResourceSpec.PoolSpec(PoolType.MODEL, "model-" + i, true, 0.5);
+      resources.add(new Resource("pool-" + i, Map.of("tier", "t" + i % 3), 1, spec));
+    }
+    for (int i = 0; i < samplers; i++) {
+      resources.add(endpoint(i, "pool-" + i % pools));
+    }
+    return new Configuration(7, resources);
+  }
+
+  private static Resource endpoint(int index, String pool) {
+    String address = "10.1." + index / 250 + "." + (1 + index % 250);
+    ResourceSpec spec =
+        new ResourceSpec.EndpointSpec(pool, address, 8_000, "zone-" + index % LetterSize.ZONES);
+    return new Resource("sampler-" + index, Map.of("rack", "r" + index % 40), 1, spec);
+  }
+
+  private static RoleCost queue() {
+    int entries = 256;
+    Supplier<AdmissionQueue<Integer>> factory =
+        () -> {
+          AdmissionQueue<Integer> queue = AdmissionQueue.builder().build();
+          for (int i = 0; i < entries; i++) {
+            queue.offer(i, RequestClass.ROLLOUT, Flow.of("track-" + i % 23), 500, 60_000 + i, 0);
+          }
+          return queue;
+        };
+    AdmissionQueue<Integer> queue = factory.get();
+    int[] next = {entries};
+    double micros =
+        Stopwatch.micros(
+            () -> {
+              int item = next[0]++;
+              String flow = "track-" + item % 23;
+              queue.offer(item, RequestClass.ROLLOUT, Flow.of(flow), 500, Long.MAX_VALUE, 0);
+              return queue.poll(0, InFlight.NONE, 64);
+            });
+    double perSecond = (LetterSize.REQUESTS_PER_S + LetterSize.samplesPerS()) / LetterSize.NODES;
+    double megabytes = OWN_ENDPOINTS * Stopwatch.megabytes(factory);
+    return new RoleCost(
+        "endpoints", "queue and admit a request", entries, micros, perSecond, megabytes, 0, false);
+  }
+
+  private static RoleCost tokens() {
+    EndpointStats stats = new EndpointStats();
+    stats.onStart(0);
+    double micros =
+        Stopwatch.micros(
+            () -> {
+              stats.onTokens(20, 20, 1);
+              return stats;
+            });
+    double perSecond = LetterSize.TOKENS_PER_S / LetterSize.NODES;
+    return new RoleCost("endpoints", "measure a token", 1, micros, perSecond, 0, 0, false);
+  }
+
+  private static RoleCost loads() {
+    EndpointStats stats = new EndpointStats();
+    double micros = Stopwatch.micros(() -> stats.view("sampler-1", ZONE, 20).limit(64).build());
+    double bytes =
+        LOAD_RECEIVERS * (OWN_ENDPOINTS * LOAD_BYTES + HEADER_BYTES + HEADER_BYTES / 2.0);
+    return new RoleCost(
+        "endpoints",
+        "make views of all endpoints (one view)",
+        1,
+        micros,
+        ROUTE_BUILDS_PER_S * LetterSize.SAMPLERS,
+        0,
+        bytes,
+        true);
+  }
+
+  private static RoleCost stepPoll() {
+    Supplier<StepState> factory = RoleCosts::fullStep;
+    StepState state = factory.get();
+    SlotBitmap received = SlotBitmap.ofBytes(new byte[LetterSize.SLOTS / 8], LetterSize.SLOTS);
+    double micros =
+        Stopwatch.micros(
+            () -> {
+              state.acknowledge(received);
+              return state.deliverable(0, 256);
+            });
+    double megabytes = Stopwatch.megabytes(factory);
+    double owned = (double) LetterSize.TRAINERS / LetterSize.NODES;
+    return new RoleCost(
+        "steps",
+        "answer a poll, nothing received yet",
+        LetterSize.SLOTS,
+        micros,
+        POLLS_PER_S * Math.max(1, owned),
+        megabytes,
+        0,
+        false);
+  }
+
+  private static StepState fullStep() {
+    List<GroupSpec> groups =
+        IntStream.range(0, LetterSize.SLOTS / 16)
+            .mapToObj(i -> new GroupSpec("cut pattern " + i, 16, i))
+            .toList();
+    StepState state = new StepState(new StepSpec(new StepId("track", 1), 1, 4_096, groups));
+    for (int slot = 0; slot < LetterSize.SLOTS; slot++) {
+      state.startNext();
+      List<VersionSpan> spans = List.of(new VersionSpan(1, 0, 500));
+      String text = "t".repeat(SAMPLE_CHARS);
+      state.finish(new Sample(slot, text, 500, "stop", 1, null, spans));
+    }
+    return state;
+  }
+
+  private static RoleCost stragglers() {
+    List<StragglerPolicy.RunningSample> running =
+        IntStream.range(0, LetterSize.SLOTS)
+            .mapToObj(
+                i ->
+                    new StragglerPolicy.RunningSample(
+                        i, "sampler-" + i % LetterSize.SAMPLERS, i % 4_000, 4_096, 1, 20 + i % 5))
+            .toList();
+    List<StragglerPolicy.SpareEndpoint> spares =
+        IntStream.range(0, LetterSize.SAMPLERS)
+            .mapToObj(i -> new StragglerPolicy.SpareEndpoint("sampler-" + i, 2, 30, 1, 22))
+            .toList();
+    StragglerPolicy policy = new StragglerPolicy();
+    StragglerPolicy.StepProgress progress =
+        new StragglerPolicy.StepProgress(LetterSize.SLOTS, running, 0, 4_000_000, 0);
+    double micros = Stopwatch.micros(() -> policy.decide(progress, spares));
+    return new RoleCost(
+        "steps",
+        "look for late samples, none late",
+        LetterSize.SLOTS,
+        micros,
+        STRAGGLER_CHECKS_PER_S,
+        0,
+        0,
+        false);
+  }
+
+  private static RoleCost claims() {
+    ClaimLimits limits = ClaimLimits.DEFAULT;
+    ClaimLedger ledger = new ClaimLedger(limits, 1, "node-1");
+    RecordedAnswer answer = RecordedAnswer.of(200, Map.of(), new byte[400]);
+    int[] next = {0};
+    long[] nowMs = {0};
+    double micros =
+        Stopwatch.micros(
+            () -> {
+              nowMs[0] += limits.retentionMs();
+              ledger.takeExpiredBatches(nowMs[0], 100);
+              String key = "counter-app/k-" + next[0]++;
+              ledger.claim(key, "fingerprint", nowMs[0]);
+              ledger.nextBatch();
+              ledger.onCommitted();
+              ledger.settle(key, answer, nowMs[0]);
+              ledger.nextBatch();
+              return ledger.onCommitted();
+            });
+    double perSecond = KEYED_SHARE * LetterSize.REQUESTS_PER_S / CLAIM_RANGES;
+    double megabytes = Stopwatch.megabytes(RoleCosts::fullLedger);
+    return new RoleCost(
+        "claims",
+        "claim, run and settle a key",
+        limits.maxKeys(),
+        micros,
+        perSecond,
+        megabytes,
+        0,
+        true);
+  }
+
+  private static ClaimLedger fullLedger() {
+    ClaimLedger ledger = new ClaimLedger(ClaimLimits.DEFAULT, 1, "node-1");
+    for (int i = 0; i < ClaimLimits.DEFAULT.maxKeys(); i++) {
+      String key = "counter-app/k-" + i;
+      ledger.claim(key, "fingerprint-" + i, i);
+      ledger.nextBatch();
+      ledger.onCommitted();
+      ledger.settle(key, RecordedAnswer.of(200, Map.of(), new byte[400]), i);
+      ledger.nextBatch();
+      ledger.onCommitted();
+    }
+    return ledger;
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/version/RolloutModel.java
@@ -0,0 +1,154 @@
+package org.sycamoretrack.bench.version;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.sycamoretrack.bench.connection.VirtualTime;
+import org.sycamoretrack.core.version.RolloutTimes;
+import org.sycamoretrack.core.version.WeightRollout;
+import org.sycamoretrack.core.version.WeightRollout.Command;
+
+/**
+ * The rollout of one version to the engines of a group, in virtual time.
+ *
+ * <p>Engines answer at once, load for some seconds and may fail halfway. The number of loads that
+ * are under way at the weight store is not limited; the rate of orders is.
+ */
+public final class RolloutModel {
+  private static final double PLAN_INTERVAL_MS = 50;
+  private static final double CALL_MS = 2;
+  private static final double PROBE_MS = 60;
+  private static final double HORIZON_MS = 600_000;
+
+  private final VirtualTime time = new VirtualTime();
+  private final WeightRollout rollout;
+  private final SplittableRandom random;
+  private final List<WeightRollout.Engine> engines = new ArrayList<>();
+  private final long[] versions;
+  private final long[] loading;
+  private final double meanLoadMs;
+  private final double failureShare;
+  private long reads;
+  private long orders;
+  private long plans;
+  private long planNs;
+  private int mostOut;
+
+  /**
+   * Creates a group whose engines serve version 1.
+   *
+   * @param size how many engines there are
+   * @param meanLoadMs the mean time of a load
+   * @param failureShare the share of loads that fail halfway
+   * @param seed the seed of all chance
+   */
+  public RolloutModel(int size, double meanLoadMs, double failureShare, long seed) {
+    this.random = new SplittableRandom(seed);
+    this.rollout = new WeightRollout(RolloutTimes.DEFAULT, random.split());
+    this.versions = new long[size];
+    this.loading = new long[size];
+    this.meanLoadMs = meanLoadMs;
+    this.failureShare = failureShare;
+    for (int i = 0; i < size; i++) {
+      engines.add(new WeightRollout.Engine("sampler-" + i, true, 8, true));
+      versions[i] = 1;
+      loading[i] = WeightRollout.UNKNOWN_VERSION;
+    }
+  }
+
+  /**
+   * Rolls a version out.
+   *
+   * @param target the version
+   * @param ordersPerSecond the rate of the weight store
+   * @param floorShare the share of engines that stay in service
+   * @return the time until every engine is proven to serve it, in milliseconds
+   */
+  public double roll(long target, double ordersPerSecond, double floorShare) {
+    WeightRollout.Situation before =
+        new WeightRollout.Situation(1, 1, ordersPerSecond, floorShare, engines);
+    double settledMs = time.nowMs() + 5_000;
+    while (time.nowMs() < settledMs) {
+      plan(before);
+    }
+    reads = 0;
+    planNs = 0;
+    plans = 0;
+    double startMs = time.nowMs();
+    WeightRollout.Situation situation =
+        new WeightRollout.Situation(target, 1, ordersPerSecond, floorShare, engines);
+    while (!isDone(target) && time.nowMs() < startMs + HORIZON_MS) {
+      plan(situation);
+    }
+    return time.nowMs() - startMs;
+  }
+
+  private boolean isDone(long target) {
+    return rollout.statuses().stream().allMatch(s -> s.servedVersion() >= target && s.proven());
+  }
+
+  private void plan(WeightRollout.Situation situation) {
+    long startNs = System.nanoTime();
+    List<Command> commands = rollout.plan(situation, time.nowWholeMs());
+    planNs += System.nanoTime() - startNs;
+    plans++;
+    commands.forEach(this::carryOut);
+    int out = (int) rollout.statuses().stream().filter(s -> s.outOfService()).count();
+    mostOut = Math.max(mostOut, out);
+    time.runUntil(time.nowMs() + PLAN_INTERVAL_MS);
+  }
+
+  private void carryOut(Command command) {
+    String name = command.endpoint();
+    int index = Integer.parseInt(name.substring("sampler-".length()));
+    switch (command) {
+      case Command.Read read -> {
+        reads++;
+        time.after(
+            CALL_MS,
+            () -> rollout.onRead(name, versions[index], loading[index], time.nowWholeMs()));
+      }
+      case Command.Probe probe ->
+          time.after(PROBE_MS, () -> rollout.onProbed(name, versions[index], time.nowWholeMs()));
+      case Command.Order order -> load(index, order);
+    }
+  }
+
+  private void load(int index, Command.Order order) {
+    orders++;
+    loading[index] = order.version();
+    boolean fails = random.nextDouble() < failureShare;
+    time.after(CALL_MS, () -> rollout.onOrderSettled(order.endpoint(), time.nowWholeMs()));
+    time.after(
+        meanLoadMs * random.nextDouble(0.8, 1.2),
+        () -> {
+          loading[index] = WeightRollout.UNKNOWN_VERSION;
+          versions[index] = fails ? versions[index] : order.version();
+        });
+  }
+
+  /** Returns the reads of engines a second during the rollout. */
+  public double readsPerS() {
+    return reads / (plans * PLAN_INTERVAL_MS / 1_000);
+  }
+
+  /** Returns the orders of all rollouts, repeated ones included. */
+  public long orders() {
+    return orders;
+  }
+
+  /** Returns the mean processor time of a plan in microseconds. */
+  public double planMicros() {
+    return planNs / 1e3 / plans;
+  }
+
+  /** Returns the share of a core that planning takes during the rollout. */
+  public double planCpuShare() {
+    return planMicros() / 1e3 / PLAN_INTERVAL_MS;
+  }
+
+  /** Returns the most engines that were out of service at a time. */
+  public int mostOut() {
+    return mostOut;
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/version/package-info.java
@@ -0,0 +1,2 @@
+/** Models and measures of weight rollouts. */
+package org.sycamoretrack.bench.version;
--- a/core/src/main/java/org/sycamoretrack/core/request/StragglerPolicy.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/StragglerPolicy.java
@@ -5,7 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Decides which late samples of a step go on at another endpoint.
@@ -154,64 +157,111 @@
     return part * budgetShare * step.tokensMade() - step.moveCostTokens();
   }
 
-  /** The state of one call of {@link #decide}. */
+  /**
+   * The state of one call of {@link #decide}.
+   *
+   * <p>Targets are kept in the order of what they run, so that a step of thousands of samples on
+   * thousands of endpoints is decided on in one pass over both.
+   */
   private static final class Round {
     final StepProgress step;
-    final List<SpareEndpoint> spares;
     final double medianMs;
     final int mostMoves;
     final Map<String, Integer> running = new HashMap<>();
+    final Map<String, SpareEndpoint> spareByName = new HashMap<>();
     final Map<String, Integer> taken = new HashMap<>();
+    final Map<Long, NavigableSet<SpareEndpoint>> targetsByVersion = new HashMap<>();
     final List<Move> moves = new ArrayList<>();
 
     Round(StepProgress step, List<SpareEndpoint> spares) {
       this.step = step;
-      this.spares = spares;
       this.medianMs = medianMs(spares);
       int freeSlots = spares.stream().mapToInt(SpareEndpoint::freeSlots).sum();
       this.mostMoves = freeSlots - step.queuedSamples();
-      spares.forEach(spare -> running.put(spare.endpoint(), spare.running()));
+      for (SpareEndpoint spare : spares) {
+        running.put(spare.endpoint(), spare.running());
+        spareByName.put(spare.endpoint(), spare);
+      }
+      for (SpareEndpoint spare : spares) {
+        if (spare.freeSlots() > 0 && spare.timePerTokenMs() <= NORMAL_FACTOR * medianMs) {
+          targets(spare.weightVersion()).add(spare);
+        }
+      }
+    }
+
+    private NavigableSet<SpareEndpoint> targets(long weightVersion) {
+      return targetsByVersion.computeIfAbsent(
+          weightVersion,
+          version ->
+              new TreeSet<>(
+                  Comparator.<SpareEndpoint>comparingInt(spare -> running.get(spare.endpoint()))
+                      .thenComparing(SpareEndpoint::endpoint)));
     }
 
     List<Move> decide(double budgetTokens) {
       double leftTokens = budgetTokens;
-      for (RunningSample sample : longestFirst()) {
+      for (RunningSample sample : candidates()) {
         double costTokens = costTokens(sample.tokens());
         if (moves.size() < mostMoves && costTokens <= leftTokens) {
           Optional<SpareEndpoint> target = target(sample);
-          target.ifPresent(spare -> move(sample, spare.endpoint()));
+          target.ifPresent(spare -> move(sample, spare));
           leftTokens -= target.isPresent() ? costTokens : 0;
         }
       }
       return moves;
     }
 
-    private List<RunningSample> longestFirst() {
+    /** Returns the samples that may move, those with the most time left first. */
+    private List<RunningSample> candidates() {
       Comparator<RunningSample> byTimeLeft =
           Comparator.comparingDouble(sample -> sample.residualTokens() * sample.timePerTokenMs());
-      return step.running().stream().sorted(byTimeLeft.reversed()).toList();
+      return step.running().stream()
+          .filter(sample -> isLate(sample) || isCrowded(sample))
+          .sorted(byTimeLeft.reversed())
+          .toList();
     }
 
-    private void move(RunningSample sample, String endpoint) {
-      running.merge(endpoint, 1, Integer::sum);
-      running.computeIfPresent(sample.endpoint(), (name, count) -> count - 1);
-      taken.merge(endpoint, 1, Integer::sum);
-      moves.add(new Move(sample.slot(), sample.endpoint(), endpoint, sample.tokens()));
+    private boolean isCrowded(RunningSample sample) {
+      NavigableSet<SpareEndpoint> targets = targets(sample.weightVersion());
+      return !targets.isEmpty() && evensOut(targets.first(), sample);
     }
 
-    private Optional<SpareEndpoint> target(RunningSample sample) {
-      boolean late = isLate(sample);
-      return spares.stream()
-          .filter(spare -> mayTake(spare, sample))
-          .filter(spare -> late || evensOut(spare, sample))
-          .min(Comparator.comparingInt(spare -> running.get(spare.endpoint())));
+    private void move(RunningSample sample, SpareEndpoint target) {
+      NavigableSet<SpareEndpoint> targets = targets(sample.weightVersion());
+      targets.remove(target);
+      running.merge(target.endpoint(), 1, Integer::sum);
+      if (taken.merge(target.endpoint(), 1, Integer::sum) < target.freeSlots()) {
+        targets.add(target);
+      }
+      leave(sample, targets);
+      moves.add(new Move(sample.slot(), sample.endpoint(), target.endpoint(), sample.tokens()));
+    }
+
+    /** Counts a sample out of its endpoint, which may be a target itself. */
+    private void leave(RunningSample sample, Set<SpareEndpoint> targets) {
+      SpareEndpoint source = spareByName.get(sample.endpoint());
+      if (source == null) {
+        return;
+      }
+      boolean wasTarget = targets.remove(source);
+      running.merge(sample.endpoint(), -1, Integer::sum);
+      if (wasTarget) {
+        targets.add(source);
+      }
     }
 
-    private boolean mayTake(SpareEndpoint spare, RunningSample sample) {
-      return !spare.endpoint().equals(sample.endpoint())
-          && spare.weightVersion() == sample.weightVersion()
-          && taken.getOrDefault(spare.endpoint(), 0) < spare.freeSlots()
-          && spare.timePerTokenMs() <= NORMAL_FACTOR * medianMs;
+    private Optional<SpareEndpoint> target(RunningSample sample) {
+      boolean late = isLate(sample);
+      for (SpareEndpoint target : targets(sample.weightVersion())) {
+        boolean other = !target.endpoint().equals(sample.endpoint());
+        if (!late && !evensOut(target, sample)) {
+          return Optional.empty();
+        }
+        if (other && (late || taken.getOrDefault(target.endpoint(), 0) < EVEN_OUT_MOVES)) {
+          return Optional.of(target);
+        }
+      }
+      return Optional.empty();
     }
 
     private boolean isLate(RunningSample sample) {
@@ -219,11 +269,10 @@
           && isWorthIt(sample, sample.timePerTokenMs() - medianMs);
     }
 
-    private boolean evensOut(SpareEndpoint spare, RunningSample sample) {
-      int target = running.get(spare.endpoint());
-      return running.getOrDefault(sample.endpoint(), 0) > 2 * target + EVEN_OUT_SLACK
-          && taken.getOrDefault(spare.endpoint(), 0) < EVEN_OUT_MOVES
-          && isWorthIt(sample, sample.timePerTokenMs() - spare.timePerTokenMs());
+    private boolean evensOut(SpareEndpoint target, RunningSample sample) {
+      int source = running.getOrDefault(sample.endpoint(), 0);
+      return source > 2 * running.get(target.endpoint()) + EVEN_OUT_SLACK
+          && isWorthIt(sample, sample.timePerTokenMs() - target.timePerTokenMs());
     }
   }
 
