Start nodes: wire control state, ports and graceful stop

Cause: the parts ran in tests only; a node must start them in order and stop without cutting requests off.

--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
@@ -0,0 +1,335 @@
+package org.sycamoretrack.daemon.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.Member;
+import org.sycamoretrack.core.process.MemberState;
+import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.platform.HostList;
+import org.sycamoretrack.daemon.platform.HttpEngineClient;
+import org.sycamoretrack.daemon.platform.HttpHostList;
+import org.sycamoretrack.daemon.platform.HttpTableStore;
+import org.sycamoretrack.daemon.platform.HttpWeightStore;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.request.ClaimService;
+import org.sycamoretrack.daemon.request.RequestPath;
+import org.sycamoretrack.daemon.request.Route;
+import org.sycamoretrack.daemon.version.ConfigurationService;
+import org.sycamoretrack.daemon.version.NodeLease;
+import org.sycamoretrack.daemon.version.RolloutGroup;
+import org.sycamoretrack.daemon.version.RolloutSurroundings;
+import org.sycamoretrack.daemon.version.WeightRolloutService;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * The services whose state the control thread owns: membership, configuration, lease, claims and
+ * weight rollouts, and the timers that drive them.
+ *
+ * <p>Traffic threads see only the immutable snapshots that these services publish.
+ */
+final class ControlState {
+  private static final int PLATFORM_TIMEOUT_MS = 2_000;
+  private static final int ENGINE_ORDER_TIMEOUT_MS = 2_000;
+  private static final int PAUSE_MARGIN_MS = 3_000;
+  private static final int ROUTES_PERIOD_MS = 50;
+  private static final int SERVICES_PERIOD_MS = 100;
+  private static final int ENGINES_PERIOD_MS = 500;
+  private static final int HOSTS_PERIOD_MS = 2_000;
+  private static final int STEPS_PERIOD_MS = 5_000;
+  private static final int DUMP_PERIOD_MS = 1_000;
+  private static final double JITTER_SHARE = 0.1;
+  private static final int QUEUE_CAPACITY = 8_192;
+
+  private final NodeSettings settings;
+  private final ControlAgent control;
+  private final PeerLink link;
+  private final HostList hostList;
+  private final MembershipService membership;
+  private final ConfigurationService configuration;
+  private final LeaseService lease;
+  private final ClaimService claims;
+  private final WeightRolloutService rollouts;
+  private final RequestPath requests;
+  private volatile JsonNode controlDump = Json.object();
+  private volatile JsonNode requestsDump = Json.object();
+
+  ControlState(NodeSettings settings, Wiring wiring, Metrics metrics) {
+    this.settings = settings;
+    this.control = wiring.control();
+    this.link = wiring.link();
+    HttpClient client = wiring.client();
+    TableStore table = new HttpTableStore(client, settings.platform().table(), PLATFORM_TIMEOUT_MS);
+    this.hostList = new HttpHostList(client, settings.platform().hosts(), PLATFORM_TIMEOUT_MS);
+    EngineClient engines = new HttpEngineClient(client, ENGINE_ORDER_TIMEOUT_MS);
+    this.membership = membership(wiring);
+    this.configuration =
+        new ConfigurationService(control, link, membership::view, table, new Random());
+    this.lease = lease(table, wiring.incarnation());
+    this.claims = claims(table, wiring.incarnation());
+    this.requests = requests(wiring, engines, metrics);
+    this.rollouts = rollouts(table, client, engines);
+    registerGauges(metrics);
+  }
+
+  /**
+   * What the control state is built on.
+   *
+   * @param incarnation names this process and no other
+   * @param loops the event loops of traffic
+   * @param control the control thread
+   * @param link the peer link
+   * @param client the HTTP client
+   */
+  record Wiring(
+      String incarnation,
+      EventLoopGroup loops,
+      ControlAgent control,
+      PeerLink link,
+      HttpClient client) {}
+
+  static ControlAgent newControlAgent() {
+    return new ControlAgent(QUEUE_CAPACITY, SystemNanoClock.INSTANCE, new Random());
+  }
+
+  private MembershipService membership(Wiring wiring) {
+    InetSocketAddress peerAddress = wiring.link().address();
+    Member self =
+        new Member(
+            settings.nodeId(),
+            settings.zone(),
+            settings.region(),
+            Addresses.format(peerAddress),
+            0,
+            0,
+            MemberState.ALIVE,
+            0);
+    return MembershipService.builder()
+        .control(control)
+        .link(link)
+        .self(self)
+        .seeds(settings.peers())
+        .hostList(hostList)
+        .build();
+  }
+
+  private LeaseService lease(TableStore table, String incarnation) {
+    String address = Addresses.format(link.address());
+    LeaseService.Holder holder =
+        new LeaseService.Holder(settings.nodeId(), incarnation, address, settings.zone());
+    return new LeaseService(
+        table, holder, LeaseTimes.DEFAULT, SystemNanoClock.INSTANCE, control::execute);
+  }
+
+  private ClaimService claims(TableStore table, String incarnation) {
+    return ClaimService.builder()
+        .node(settings.nodeId(), incarnation)
+        .table(table)
+        .leaseHeld(lease::holds)
+        .aliveNodeIds(() -> membership.view().aliveIds())
+        .control(control::execute)
+        .clocks(ControlState::nowMs, System::currentTimeMillis)
+        .build();
+  }
+
+  private RequestPath requests(Wiring wiring, EngineClient engines, Metrics metrics) {
+    return RequestPath.builder()
+        .node(settings.nodeId(), settings.zone(), settings.limits())
+        .traffic(wiring.loops(), wiring.client(), engines, link)
+        .control(
+            configuration::current,
+            membership::view,
+            endpoint -> rollouts().view().isOutOfService(endpoint))
+        .claims(claims)
+        .metrics(metrics)
+        .build();
+  }
+
+  private WeightRolloutService rollouts() {
+    return rollouts;
+  }
+
+  private WeightRolloutService rollouts(TableStore table, HttpClient client, EngineClient engines) {
+    return WeightRolloutService.builder()
+        .node(settings.nodeId(), NodeLease.of(lease))
+        .platform(
+            table, new HttpWeightStore(client, settings.platform().weights(), PLATFORM_TIMEOUT_MS))
+        .engines(engines)
+        .surroundings(new Surroundings())
+        .runtime(SystemNanoClock.INSTANCE, new Random(), control::execute)
+        .times(org.sycamoretrack.core.version.RolloutTimes.DEFAULT, PAUSE_MARGIN_MS)
+        .build();
+  }
+
+  private static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private void registerGauges(Metrics metrics) {
+    metrics.gauge(
+        "configuration_version", "Version in force", () -> configuration.current().version());
+    metrics.gauge("lease_held", "1 while the node's lease is held", () -> lease.holds() ? 1 : 0);
+    metrics.gauge(
+        "members_alive", "Members that take work", () -> membership.view().alive().size());
+    metrics.gauge("steps_open", "Steps that this node owns", requests::stepCount);
+    metrics.gauge("control_queue_length", "Commands that wait", control::queueLength);
+  }
+
+  /** Starts the timers and joins the other nodes. */
+  void start() {
+    membership.onLoad(requests::onLoadPayload);
+    membership.setLoad(requests::loadPayload);
+    configuration.onChange(current -> membership.setConfigVersion(current.version()));
+    configuration.start();
+    membership.start();
+    every("routes", ROUTES_PERIOD_MS, requests::refresh);
+    every("lease", SERVICES_PERIOD_MS, this::pollLease);
+    every("claims", SERVICES_PERIOD_MS, claims::poll);
+    every("rollouts", SERVICES_PERIOD_MS, rollouts::poll);
+    every("engines", ENGINES_PERIOD_MS, requests::pollEngines);
+    every("hosts", HOSTS_PERIOD_MS, this::readHosts);
+    every("dump", DUMP_PERIOD_MS, this::renewDumps);
+    every("steps", STEPS_PERIOD_MS, requests::closeAbandonedSteps);
+  }
+
+  private void every(String name, int periodMs, Runnable action) {
+    control.scheduleAtFixedRate(name, periodMs, JITTER_SHARE, action);
+  }
+
+  private void pollLease() {
+    lease.poll();
+    long epoch = lease.epoch();
+    if (epoch != 0 && epoch != membership.view().self().epoch()) {
+      membership.setEpoch(epoch);
+    }
+  }
+
+  private void readHosts() {
+    hostList.hosts().thenAccept(requests.health()::onHostList).exceptionally(failure -> null);
+  }
+
+  RequestPath requestPath() {
+    return requests;
+  }
+
+  ConfigurationService configurationService() {
+    return configuration;
+  }
+
+  MembershipView members() {
+    return membership.view();
+  }
+
+  /** Says to the other nodes that this one is leaving. */
+  void leave() {
+    membership.leave();
+  }
+
+  /** Gives the claim ranges and the lease back; done when the platform knows. */
+  CompletionStage<Void> handBack() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    boolean queued =
+        control.execute(
+            () ->
+                claims
+                    .stop()
+                    .thenCompose(stopped -> lease.release())
+                    .whenComplete((released, failure) -> done.complete(null)));
+    return queued ? done : CompletableFuture.completedFuture(null);
+  }
+
+  private void renewDumps() {
+    controlDump = dump();
+    requests.dump().thenAccept(dump -> requestsDump = dump);
+  }
+
+  /** Returns the control state as it was about a second ago. */
+  JsonNode lastControlDump() {
+    return controlDump;
+  }
+
+  /** Returns the state of requests, steps and endpoints as it was about a second ago. */
+  JsonNode lastRequestsDump() {
+    return requestsDump;
+  }
+
+  private ObjectNode dump() {
+    ObjectNode state = Json.object();
+    state
+        .put("configurationVersion", configuration.current().version())
+        .put("leaseHeld", lease.holds())
+        .put("leaseEpoch", lease.epoch())
+        .put("claimRangesOwned", claims.ownedCount())
+        .put("claimKeys", claims.keyCount())
+        .put("controlQueueLength", control.queueLength())
+        .put("controlQueueRefusals", control.refusalCount());
+    var members = state.putArray("members");
+    for (Member member : membership.view().members()) {
+      members
+          .addObject()
+          .put("nodeId", member.nodeId())
+          .put("zone", member.zone())
+          .put("state", member.state().toString())
+          .put("epoch", member.epoch())
+          .put("configVersion", member.configVersion());
+    }
+    var groups = state.putArray("rolloutGroups");
+    rollouts
+        .view()
+        .groups()
+        .forEach(
+            group ->
+                groups
+                    .addObject()
+                    .put("pool", group.group().pool())
+                    .put("zone", group.group().zone())
+                    .put("epoch", group.epoch())
+                    .put("loading", group.loading()));
+    state.set("targetVersions", Json.mapper().valueToTree(rollouts.view().targetVersions()));
+    return state;
+  }
+
+  /** What weight rollouts see of the node. */
+  private final class Surroundings implements RolloutSurroundings {
+    @Override
+    public Configuration configuration() {
+      return configuration.current();
+    }
+
+    @Override
+    public boolean owns(RolloutGroup group) {
+      return WeightRolloutService.owns(group, membership.view(), settings.nodeId());
+    }
+
+    @Override
+    public boolean looksAfter(String endpoint) {
+      return route(endpoint).filter(r -> r.ownerNodeId().equals(settings.nodeId())).isPresent();
+    }
+
+    private Optional<Route> route(String endpoint) {
+      return requests.routes().ofName(endpoint);
+    }
+
+    @Override
+    public boolean isInService(String endpoint) {
+      return route(endpoint).filter(requests::isInServiceButForLoads).isPresent();
+    }
+
+    @Override
+    public int inFlight(String endpoint) {
+      return route(endpoint).map(r -> r.view().inFlight()).orElse(0);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
@@ -0,0 +1,196 @@
+package org.sycamoretrack.daemon.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.sycamoretrack.daemon.connection.PeerIdentity;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.daemon.request.RequestPath;
+import org.sycamoretrack.transport.connection.EventLoops;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * One node: wires its parts, starts them in order and stops them gracefully.
+ *
+ * <p>Start: the peer link listens and the control state is set up, then the ports open.
+ *
+ * <p>Graceful stop: the node is not ready any more and leaves the membership; after {@value
+ * #LEAVE_SPREAD_MS} ms the others send it no new work. Then the ports stop accepting, what is in
+ * flight ends, claims and lease are given back, and the process can exit.
+ */
+final class Node {
+  private static final System.Logger LOG = System.getLogger(Node.class.getName());
+  private static final int LEAVE_SPREAD_MS = 1_500;
+  private static final int IDLE_GRACE_MS = 300;
+  private static final int HAND_BACK_TIMEOUT_MS = 5_000;
+
+  private final NodeSettings settings;
+  private final EventLoopGroup loops;
+  private final ControlAgent control = ControlState.newControlAgent();
+  private final Metrics metrics = new Metrics();
+  private final PeerLink link;
+  private final ControlState controlState;
+  private final RequestPath requests;
+  private final HttpServer callerServer;
+  private final HttpServer trainerServer;
+  private final HttpServer operatorServer;
+  private volatile boolean stopping;
+
+  private Node(NodeSettings settings) {
+    this.settings = settings;
+    this.loops = EventLoops.start("traffic", settings.limits().trafficThreads());
+    this.link = listenForPeers();
+    HttpClient client = new HttpClient(loops, settings.limits().connectTimeoutMs());
+    String incarnation = UUID.randomUUID().toString();
+    this.controlState =
+        new ControlState(
+            settings, new ControlState.Wiring(incarnation, loops, control, link, client), metrics);
+    this.requests = controlState.requestPath();
+    control.start();
+    controlState.start();
+    this.callerServer = serve(settings.callerAddress(), requests.callerHandler());
+    this.trainerServer = serve(settings.trainerAddress(), requests.trainerHandler());
+    this.operatorServer = serve(settings.operatorAddress(), operatorApi());
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings its settings
+   * @return the node, with all ports open
+   */
+  static Node start(NodeSettings settings) {
+    Node node = new Node(settings);
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("node-started").with("peer", Addresses.format(node.link.address())));
+    return node;
+  }
+
+  private PeerLink listenForPeers() {
+    AtomicReference<PeerLink> self = new AtomicReference<>();
+    PeerLink started =
+        PeerLink.builder()
+            .group(loops)
+            .address(settings.peerAddress())
+            .identity(() -> identity(self.get()))
+            .key(readSecret(settings.peerKeyFile()))
+            .start();
+    self.set(started);
+    return started;
+  }
+
+  private PeerIdentity identity(PeerLink started) {
+    InetSocketAddress address = started == null ? settings.peerAddress() : started.address();
+    long epoch = controlState == null ? 0 : controlState.members().self().epoch();
+    return new PeerIdentity(
+        settings.nodeId(), settings.zone(), settings.region(), epoch, Addresses.format(address));
+  }
+
+  private static byte[] readSecret(Path file) {
+    if (file == null) {
+      return null;
+    }
+    try {
+      return Files.readString(file).strip().getBytes(StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new UncheckedIOException("can't read " + file, e);
+    }
+  }
+
+  private HttpServer serve(InetSocketAddress address, HttpHandler handler) {
+    NodeLimits limits = settings.limits();
+    return HttpServer.builder()
+        .group(loops)
+        .address(address)
+        .handler(handler)
+        .maxBodyBytes(limits.maxBodyBytes())
+        .maxHeaderBytes(limits.maxHeaderBytes())
+        .requestTimeoutMs(limits.requestTimeoutMs())
+        .start();
+  }
+
+  private OperatorApi operatorApi() {
+    byte[] token = readSecret(settings.operatorTokenFile());
+    OperatorApi api =
+        OperatorApi.builder()
+            .configuration(controlState.configurationService())
+            .metrics(metrics::scrape)
+            .ready(() -> !stopping)
+            .token(token == null ? null : new String(token, StandardCharsets.UTF_8))
+            .build();
+    api.register(new DumpSource("control", controlState::lastControlDump));
+    api.register(new DumpSource("requests", controlState::lastRequestsDump));
+    return api;
+  }
+
+  /** A state that the control thread renews now and then. */
+  private record DumpSource(String name, Supplier<JsonNode> newest) implements StateSource {
+    @Override
+    public JsonNode state() {
+      return newest.get();
+    }
+  }
+
+  /** Returns the ports that the node listens on. */
+  ObjectNode addresses() {
+    return Json.object()
+        .put("nodeId", settings.nodeId())
+        .put("callerPort", callerServer.address().getPort())
+        .put("trainerPort", trainerServer.address().getPort())
+        .put("operatorPort", operatorServer.address().getPort())
+        .put("peerPort", link.address().getPort());
+  }
+
+  /**
+   * Stops gracefully; returns when nothing is in flight any more or the stop timeout has passed.
+   */
+  void stop() {
+    LOG.log(System.Logger.Level.INFO, LogEvent.of("stop-began"));
+    stopping = true;
+    controlState.leave();
+    Waiting.until(LEAVE_SPREAD_MS, () -> false);
+    requests.stopAccepting();
+    callerServer.drain();
+    trainerServer.drain();
+    requests.closeSteps();
+    boolean ended = Waiting.until(settings.limits().stopTimeoutMs(), this::isIdle);
+    Waiting.until(IDLE_GRACE_MS, () -> connections() == 0);
+    CompletableFuture<Void> handedBack = controlState.handBack().toCompletableFuture();
+    Waiting.until(HAND_BACK_TIMEOUT_MS, handedBack::isDone);
+    LOG.log(System.Logger.Level.INFO, LogEvent.of("stopped").with("allEnded", ended));
+    close();
+  }
+
+  private boolean isIdle() {
+    return callerServer.inFlightCount() == 0
+        && trainerServer.inFlightCount() == 0
+        && requests.peerWorkCount() == 0;
+  }
+
+  private int connections() {
+    return callerServer.connectionCount() + trainerServer.connectionCount();
+  }
+
+  private void close() {
+    callerServer.close();
+    trainerServer.close();
+    operatorServer.close();
+    link.close();
+    control.close();
+    EventLoops.stop(loops);
+  }
+}
