Prove claims under faults; settle takings of a range that may have happened

The property found two faults, both mended: - a range whose taking took effect after its process had stopped wanting it kept an owner that did not know of it. Trace: take sent, answer lost, view changes, row names the live process, nobody else may take it. While a process may own a range it now goes on settling its taking, wanted or not. - a range of a process that was replaced by another of the same node id was waited for as long as the node was alive. The owner's lease is now compared by incarnation, too.

A claim that arrives before this node saw the change of members that its sender saw now waits instead of being refused.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimContext.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimContext.java
@@ -1,11 +1,13 @@
 package org.sycamoretrack.daemon.request;
 
 import java.util.Collection;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.request.ClaimLimits;
+import org.sycamoretrack.daemon.platform.Failures;
 import org.sycamoretrack.daemon.platform.TableStore;
 import org.sycamoretrack.daemon.process.ControlInbox;
 
@@ -72,8 +74,10 @@
     return epochClockMs.getAsLong();
   }
 
-  boolean isAlive(String otherNodeId) {
-    return aliveNodeIds.get().contains(otherNodeId);
+  /** Returns whether a range's owner seems to be gone, given its node's lease. */
+  boolean isGone(ClaimTable.Owner owner, Optional<TableStore.Row> lease, long sentMs) {
+    boolean alive = aliveNodeIds.get().contains(owner.nodeId());
+    return owners.isGone(owner, lease, sentMs, alive);
   }
 
   <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action) {
@@ -83,6 +87,8 @@
   void log(String event, String range, Throwable failure) {
     System.Logger.Level level =
         failure == null ? System.Logger.Level.INFO : System.Logger.Level.WARNING;
-    LOGGER.log(level, event + " " + range + (failure == null ? "" : " " + failure.getMessage()));
+    LOGGER.log(
+        level,
+        event + " " + range + (failure == null ? "" : " " + Failures.unwrap(failure).getMessage()));
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
@@ -53,7 +53,10 @@
     RELEASING
   }
 
-  /** A claim that waits for the range to be taken. */
+  /**
+   * A claim that waits for the range to be taken. Its sender may have seen a change of members
+   * before this node, so that it waits even while the range is not wanted here.
+   */
   private record Waiting(
       String key, String fingerprint, long untilMs, CompletableFuture<ClaimDecision> caller) {}
 
@@ -68,6 +71,8 @@
   private long nextAttemptMs = Long.MIN_VALUE;
   private long drainingSinceMs;
   private long lastWriteMs;
+  private boolean mayOwn;
+  private long takenVersion;
   private boolean tableDown;
   private boolean callUnderWay;
   private boolean batchMaybeWritten;
@@ -83,7 +88,7 @@
   }
 
   boolean isUnowned() {
-    return phase == Phase.UNOWNED;
+    return phase == Phase.UNOWNED && !mayOwn;
   }
 
   long epoch() {
@@ -101,7 +106,7 @@
     expireWaiting(nowMs);
     switch (phase) {
       case UNOWNED -> {
-        if (wanted && leaseHeld && nowMs >= nextAttemptMs) {
+        if ((mayOwn || (wanted && leaseHeld)) && nowMs >= nextAttemptMs) {
           take();
         }
       }
@@ -120,7 +125,7 @@
   }
 
   private void expireWaiting(long nowMs) {
-    while (!waiting.isEmpty() && (waiting.peek().untilMs() <= nowMs || !wanted)) {
+    while (!waiting.isEmpty() && waiting.peek().untilMs() <= nowMs) {
       ClaimCallers.refuse(waiting.poll().caller(), refusalCode());
     }
     callers.expireFollowers(nowMs);
@@ -149,10 +154,15 @@
     tableDown = false;
     if (found.writer().equals(context.writer()) && !found.released()) {
       recover(found);
-    } else if (found.released() || found.nodeId().equals(context.nodeId())) {
+      return;
+    }
+    mayOwn = mayOwn && found.version() == takenVersion;
+    if (mayOwn) {
       takeFrom(found);
-    } else if (context.isAlive(found.nodeId())) {
+    } else if (!wanted) {
       retryLater();
+    } else if (found.released() || found.nodeId().equals(context.nodeId())) {
+      takeFrom(found);
     } else {
       takeIfGone(found);
     }
@@ -165,7 +175,7 @@
         (lease, failure) -> {
           if (failure != null) {
             onTakeFailed(failure);
-          } else if (context.owners().isGone(found.nodeId(), lease, sentMs)) {
+          } else if (context.isGone(found, lease, sentMs)) {
             takeFrom(found);
           } else {
             retryLater();
@@ -177,13 +187,19 @@
     ClaimTable.Owner next =
         new ClaimTable.Owner(
             found.version(), context.nodeId(), context.writer(), found.epoch() + 1, false);
+    boolean unsettledBefore = mayOwn;
+    mayOwn = true;
+    takenVersion = found.version();
     context.onResult(
         context.table().writeOwner(name, next),
         (result, failure) -> {
           switch (result) {
             case TransactionResult.Committed committed -> recover(withVersion(next, committed));
             case TransactionResult.Conflict conflict -> retryLater();
-            case null -> onTakeFailed(failure);
+            case null -> {
+              mayOwn = unsettledBefore || Failures.outcome(failure) != Outcome.NOT_RUN;
+              onTakeFailed(failure);
+            }
           }
         });
   }
@@ -194,7 +210,11 @@
         committed.versions().getFirst(), owner.nodeId(), owner.writer(), owner.epoch(), false);
   }
 
-  /** A write whose answer was lost is found by the next attempt's read. */
+  /**
+   * A write whose answer was lost is found by the next attempt's read, or made again. While this
+   * process may own the range the attempts go on, also when the range is no longer wanted: else it
+   * would have an owner that doesn't know of it and never gives it back.
+   */
   private void onTakeFailed(Throwable failure) {
     tableDown = true;
     context.log("claim-range-not-taken", name, failure);
@@ -268,7 +288,7 @@
     if (phase == Phase.OWNED) {
       decide(key, fingerprint, caller);
       write();
-    } else if (!wanted || phase == Phase.DRAINING || phase == Phase.RELEASING) {
+    } else if (phase == Phase.DRAINING || phase == Phase.RELEASING) {
       ClaimCallers.refuse(caller, ErrorCode.LEASE_LOST);
     } else if (tableDown) {
       ClaimCallers.refuse(caller, ErrorCode.PLATFORM_UNAVAILABLE);
@@ -450,11 +470,13 @@
     if (found.isPresent() && found.get().equals(batch)) {
       onCommitted();
       if (fenced) {
+        mayOwn = false;
         lose();
       } else {
         write();
       }
     } else if (found.isPresent() || fenced) {
+      mayOwn = !fenced;
       ledger.onNotWritten();
       lose();
     } else {
@@ -472,7 +494,7 @@
     }
   }
 
-  /** Another process took the range: nothing more can be written. */
+  /** Nothing more can be written: the range was taken or given back, or must be read anew. */
   private void lose() {
     context.log("claim-range-lost", name, null);
     refuseCallers(ErrorCode.LEASE_LOST);
@@ -506,6 +528,7 @@
             phase = Phase.DRAINING;
             nextAttemptMs = context.nowMs() + context.times().retryMs();
           } else {
+            mayOwn = false;
             lose();
           }
         });
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimService.java
@@ -211,7 +211,8 @@
      * Sets who claims.
      *
      * @param nodeId this node
-     * @param writer names this process and no other, past or future
+     * @param writer names this process and no other, past or future; it is the incarnation that
+     *     holds the node's lease
      * @return this builder
      */
     public Builder node(String nodeId, String writer) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/OwnerWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/OwnerWatch.java
@@ -1,5 +1,6 @@
 package org.sycamoretrack.daemon.request;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -10,7 +11,10 @@
 import org.sycamoretrack.daemon.process.LeaseService;
 
 /**
- * Tells whether the owner of a key range seems to be gone, from its lease's row.
+ * Tells whether the process that owns a key range seems to be gone, from its node's lease.
+ *
+ * <p>It is gone when the lease was given back or taken by another process of the same node, or when
+ * the membership doesn't know the node as alive and the lease's row stands still.
  *
  * <p>This is a hint that keeps nodes which don't see each other from taking ranges back and forth.
  * Nothing depends on its being right: the epoch of the range decides whose batches are written.
@@ -36,18 +40,23 @@
   /**
    * Takes a lease as it was read.
    *
-   * @param nodeId the node
-   * @param row its lease's row
+   * @param owner the owner of the range
+   * @param row the lease of its node
    * @param sentMs when the read was sent
-   * @return whether the node seems to be gone
+   * @param alive whether the membership knows the node as alive
+   * @return whether the owner seems to be gone
    */
-  boolean isGone(String nodeId, Optional<TableStore.Row> row, long sentMs) {
-    if (row.isEmpty() || row.get().value().path("released").asBoolean()) {
-      watches.remove(nodeId);
+  boolean isGone(ClaimTable.Owner owner, Optional<TableStore.Row> row, long sentMs, boolean alive) {
+    if (row.isEmpty() || isOver(row.get().value(), owner.writer())) {
+      watches.remove(owner.nodeId());
       return true;
     }
-    LeaseWatch watch = watches.computeIfAbsent(nodeId, any -> new LeaseWatch(durationMs));
+    LeaseWatch watch = watches.computeIfAbsent(owner.nodeId(), any -> new LeaseWatch(durationMs));
     watch.onSeen(row.get().version(), sentMs, clockMs.getAsLong());
-    return watch.isExpired();
+    return !alive && watch.isExpired();
+  }
+
+  private static boolean isOver(JsonNode lease, String writer) {
+    return lease.path("released").asBoolean() || !lease.path("incarnation").asText().equals(writer);
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/platform/FakeTableStore.java
@@ -0,0 +1,204 @@
+package org.sycamoretrack.daemon.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.transport.process.Json;
+
+/**
+ * A table service in memory whose calls wait until the test says what becomes of each. Values are
+ * kept as text, as over HTTP.
+ */
+public final class FakeTableStore implements TableStore {
+  /** What becomes of a call. */
+  public enum Fate {
+    /** It takes effect and is answered. */
+    DONE,
+    /** It takes effect and its answer is lost. */
+    ANSWER_LOST,
+    /** It never arrives. */
+    NEVER_ARRIVES,
+    /** Its sender gets no answer, and it takes effect later, at a call of {@link #runLate}. */
+    LATE,
+    /** It is refused as not run. */
+    REFUSED
+  }
+
+  /** A call that waits. */
+  public static final class Call {
+    /** The transaction, null for reads. */
+    public final Transaction transaction;
+
+    private final Runnable done;
+    private final Runnable effect;
+    private final CompletableFuture<?> answer;
+
+    private <T> Call(Transaction transaction, Supplier<T> effect, CompletableFuture<T> answer) {
+      this.transaction = transaction;
+      this.done = () -> answer.complete(effect.get());
+      this.effect = () -> Objects.requireNonNull(effect.get());
+      this.answer = answer;
+    }
+
+    /** Returns whether the call writes to a table. */
+    public boolean writesTo(String table) {
+      return transaction != null
+          && transaction.puts().stream().anyMatch(put -> put.table().equals(table));
+    }
+  }
+
+  private record StoredRow(long version, String value) {}
+
+  private final Map<String, NavigableMap<String, StoredRow>> tables;
+  private final List<Call> calls = new ArrayList<>();
+  private final List<Call> late = new ArrayList<>();
+
+  /** Creates an empty table service. */
+  public FakeTableStore() {
+    this.tables = new HashMap<>();
+  }
+
+  /** Creates a client of its own, with its own calls, for the same tables. */
+  public FakeTableStore(FakeTableStore sameTables) {
+    this.tables = sameTables.tables;
+  }
+
+  /** Returns the calls that wait, oldest first. */
+  public List<Call> calls() {
+    return calls;
+  }
+
+  /** Answers all calls that wait, and those that follow from them. */
+  public void runAll() {
+    while (!calls.isEmpty()) {
+      run(calls.getFirst(), Fate.DONE);
+    }
+  }
+
+  /** Lets a call meet its fate. */
+  public void run(Call call, Fate fate) {
+    calls.remove(call);
+    switch (fate) {
+      case DONE -> call.done.run();
+      case ANSWER_LOST -> {
+        call.effect.run();
+        fail(call, Outcome.UNKNOWN);
+      }
+      case NEVER_ARRIVES -> fail(call, Outcome.UNKNOWN);
+      case LATE -> {
+        late.add(call);
+        fail(call, Outcome.UNKNOWN);
+      }
+      case REFUSED -> fail(call, Outcome.NOT_RUN);
+    }
+  }
+
+  private static void fail(Call call, Outcome outcome) {
+    call.answer.completeExceptionally(
+        new SycamoreException(ErrorCode.PLATFORM_UNAVAILABLE, outcome, "a fault of the test"));
+  }
+
+  /** Lets the late calls take effect. */
+  public void runLate() {
+    late.forEach(call -> call.effect.run());
+    late.clear();
+  }
+
+  /** Returns the rows of a table whose keys begin with a prefix. */
+  public List<Row> rows(String table, String prefix) {
+    return scanNow(table, prefix, "", Integer.MAX_VALUE);
+  }
+
+  private <T> CompletionStage<T> add(Transaction transaction, Supplier<T> effect) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    calls.add(new Call(transaction, effect, answer));
+    return answer;
+  }
+
+  @Override
+  public CompletionStage<Optional<Row>> read(String table, String key) {
+    return add(null, () -> Optional.ofNullable(row(table, key)));
+  }
+
+  @Override
+  public CompletionStage<List<Row>> scan(String table, String prefix, String after, int limit) {
+    return add(null, () -> scanNow(table, prefix, after, limit));
+  }
+
+  @Override
+  public CompletionStage<TransactionResult> transact(Transaction transaction) {
+    return add(transaction, () -> transactNow(transaction));
+  }
+
+  private List<Row> scanNow(String table, String prefix, String after, int limit) {
+    List<Row> rows = new ArrayList<>();
+    for (String key : table(table).keySet()) {
+      Row row = row(table, key);
+      if (key.startsWith(prefix)
+          && key.compareTo(after) > 0
+          && row != null
+          && rows.size() < limit) {
+        rows.add(row);
+      }
+    }
+    return rows;
+  }
+
+  private TransactionResult transactNow(Transaction transaction) {
+    List<TransactionResult.ConflictingRow> conflicts = new ArrayList<>();
+    transaction
+        .checks()
+        .forEach(each -> check(each.table(), each.key(), each.expectedVersion(), conflicts));
+    transaction
+        .puts()
+        .forEach(each -> check(each.table(), each.key(), each.expectedVersion(), conflicts));
+    if (!conflicts.isEmpty()) {
+      return new TransactionResult.Conflict(conflicts);
+    }
+    return new TransactionResult.Committed(transaction.puts().stream().map(this::put).toList());
+  }
+
+  private void check(
+      String table, String key, long expected, List<TransactionResult.ConflictingRow> conflicts) {
+    Row row = row(table, key);
+    long version = row == null ? 0 : row.version();
+    if (expected != Transaction.ANY && expected != version) {
+      conflicts.add(new TransactionResult.ConflictingRow(table, key, version));
+    }
+  }
+
+  private long put(Transaction.Put put) {
+    StoredRow before = table(put.table()).get(put.key());
+    long version = before == null ? 1 : before.version() + 1;
+    String value = put.value() == null ? null : new String(Json.bytes(put.value()), UTF_8);
+    table(put.table()).put(put.key(), new StoredRow(version, value));
+    return version;
+  }
+
+  private Row row(String table, String key) {
+    StoredRow row = table(table).get(key);
+    if (row == null || row.value() == null) {
+      return null;
+    }
+    JsonNode value = Json.parse(row.value().getBytes(UTF_8));
+    return new Row(key, row.version(), value);
+  }
+
+  private NavigableMap<String, StoredRow> table(String name) {
+    return tables.computeIfAbsent(name, any -> new TreeMap<>());
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimNode.java
@@ -0,0 +1,137 @@
+package org.sycamoretrack.daemon.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.sycamoretrack.core.request.ClaimLimits;
+import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.daemon.platform.FakeTableStore;
+import org.sycamoretrack.daemon.platform.Transaction;
+import org.sycamoretrack.daemon.process.ControlInbox;
+import org.sycamoretrack.daemon.process.LeaseService;
+import org.sycamoretrack.transport.process.Json;
+
+/** One key range on one node of a test, whose control thread runs when the test says so. */
+final class ClaimNode {
+  static final ClaimTimes TIMES = new ClaimTimes(10, 1_000, 5, 500, 300);
+  private static final ClaimLimits LIMITS = new ClaimLimits(100, 8, 3, 1_000, 1_000_000);
+
+  final String nodeId;
+  final FakeTableStore table;
+  final ClaimRange range;
+  final Set<String> running = new HashSet<>();
+  private final Queue<Runnable> control = new ArrayDeque<>();
+  private final Map<String, Integer> runs;
+  Set<String> alive;
+  boolean wanted;
+
+  /**
+   * Starts a process.
+   *
+   * @param runs counts how often each key was run, over all nodes
+   */
+  ClaimNode(
+      String nodeId,
+      int incarnation,
+      FakeTableStore tables,
+      LongSupplier clockMs,
+      Map<String, Integer> runs) {
+    this.nodeId = nodeId;
+    this.runs = runs;
+    this.table = new FakeTableStore(tables);
+    this.alive = Set.of(nodeId);
+    ControlInbox inbox = new ControlInbox(control::add);
+    ClaimService.Builder builder =
+        ClaimService.builder()
+            .node(nodeId, nodeId + "/" + incarnation)
+            .aliveNodeIds(() -> alive)
+            .clocks(clockMs, clockMs)
+            .limits(TIMES, LIMITS);
+    this.range = new ClaimRange("r-00", new ClaimContext(builder, inbox, table));
+    takeLease(nodeId + "/" + incarnation);
+  }
+
+  private void takeLease(String writer) {
+    JsonNode lease = Json.object().put("incarnation", writer).put("released", false);
+    table.transact(
+        Transaction.builder("lease")
+            .put(LeaseService.TABLE, nodeId, Transaction.ANY, lease)
+            .build());
+    table.runAll();
+  }
+
+  /** Claims a key; when told to run its call, the call counts as run. */
+  CompletableFuture<ClaimDecision> claim(String key) {
+    return claim(key, "fingerprint of " + key);
+  }
+
+  CompletableFuture<ClaimDecision> claim(String key, String fingerprint) {
+    CompletableFuture<ClaimDecision> decision = new CompletableFuture<>();
+    decision.thenAccept(
+        decided -> {
+          if (decided instanceof ClaimDecision.Run) {
+            runs.merge(key, 1, Integer::sum);
+            running.add(key);
+          }
+        });
+    control.add(() -> range.claim(key, fingerprint, decision));
+    return decision;
+  }
+
+  static RecordedAnswer answer(String key) {
+    return RecordedAnswer.of(200, Map.of("x", "y"), key.getBytes(StandardCharsets.UTF_8));
+  }
+
+  CompletableFuture<Void> settle(String key) {
+    running.remove(key);
+    CompletableFuture<Void> recorded = new CompletableFuture<>();
+    control.add(() -> range.settle(key, answer(key), recorded));
+    return recorded;
+  }
+
+  /** Frees the key of a call that did not run after all. */
+  CompletableFuture<Void> release(String key) {
+    running.remove(key);
+    runs.merge(key, -1, Integer::sum);
+    CompletableFuture<Void> recorded = new CompletableFuture<>();
+    control.add(() -> range.release(key, recorded));
+    return recorded;
+  }
+
+  void leaveUnsettled(String key) {
+    running.remove(key);
+    control.add(() -> range.leaveUnsettled(key));
+  }
+
+  void poll() {
+    control.add(() -> range.poll(wanted, true));
+    drainControl();
+  }
+
+  void drainControl() {
+    Runnable command;
+    while ((command = control.poll()) != null) {
+      command.run();
+    }
+  }
+
+  /** Runs the node with a table service that works until nothing is left to do. */
+  void settleDown() {
+    drainControl();
+    while (!table.calls().isEmpty()) {
+      table.runAll();
+      drainControl();
+    }
+  }
+
+  List<FakeTableStore.Call> calls() {
+    return table.calls();
+  }
+}
