--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -62,6 +62,7 @@
   private long countedChars;
   private long tokensMade;
   private long movedTokens;
+  private double moveCostTokens;
   private int moves;
   private int restored;
   private int staleAtFinish;
@@ -80,7 +81,7 @@
 
   /** A poll that waits for a sample. */
   private record WaitingPoll(
-      HttpExchange exchange, StepCodec.Poll poll, ScheduledFuture<?> timeout) {}
+      HttpExchange exchange, StepCodec.Poll poll, ScheduledFuture<?> timeout, long sinceNanos) {}
 
   StepSpec spec() {
     return spec;
@@ -124,7 +125,7 @@
     if (!answerIfReady(exchange, poll)) {
       ScheduledFuture<?> timeout =
           loop.schedule(this::endWaitingPoll, poll.waitMs(), TimeUnit.MILLISECONDS);
-      WaitingPoll parked = new WaitingPoll(exchange, poll, timeout);
+      WaitingPoll parked = new WaitingPoll(exchange, poll, timeout, System.nanoTime());
       waiting = parked;
       exchange.onAbandoned(() -> loop.execute(() -> forget(parked)));
     }
@@ -143,11 +144,15 @@
     if (samples.isEmpty() && !state.isComplete() && poll.waitMs() > 0) {
       return false;
     }
+    services.metrics().onPollAnswered(0);
     respond(exchange, samples);
     return true;
   }
 
   private void respond(HttpExchange exchange, List<Sample> samples) {
+    for (Sample sample : samples) {
+      services.metrics().onSampleOffered(trainsVersion - sample.oldestVersion());
+    }
     ObjectNode answer = StepCodec.pollAnswer(spec, state.isComplete(), samples);
     if (!quarantined.isEmpty()) {
       answer.set("quarantined", Json.mapper().valueToTree(quarantined));
@@ -160,6 +165,9 @@
       WaitingPoll ended = waiting;
       waiting = null;
       ended.timeout().cancel(false);
+      services
+          .metrics()
+          .onPollAnswered(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - ended.sinceNanos()));
       respond(ended.exchange(), state.deliverable(oldestVersion(), ended.poll().maxSamples()));
     }
   }
@@ -235,6 +243,7 @@
     tokensMade += sample.tokens();
     if (sample.oldestVersion() < oldestVersion()) {
       staleAtFinish++;
+      services.metrics().onSampleTooOld();
       running.remove(run.slot());
       state.fail(run.slot());
       dispatch();
@@ -282,6 +291,7 @@
     running.remove(run.slot());
     if (state.finish(sample)) {
       countMemory();
+      services.metrics().onSampleFinished();
       services.sink().onFinished(spec.id(), sample);
       answerWaitingPollSoon();
     }
@@ -334,27 +344,33 @@
   private void moveStragglers() {
     List<StragglerPolicy.RunningSample> samples =
         running.values().stream()
-            .map(SlotRun::progress)
+            .map(run -> run.progress(spec.maxTokens()))
             .filter(sample -> !sample.endpoint().isEmpty())
             .toList();
     List<StragglerPolicy.SpareEndpoint> spares =
         services.routes().get().ofPools(plan.pools()).stream()
             .map(Route::view)
             .filter(view -> view.inService() && view.ejection() == EjectionState.IN_USE)
-            .filter(view -> view.limit() > view.inFlight())
             .map(StepRunner::spare)
             .toList();
     StragglerPolicy.StepProgress progress =
-        new StragglerPolicy.StepProgress(samples, state.waiting(), tokensMade, movedTokens);
+        new StragglerPolicy.StepProgress(
+            spec.slots(), samples, state.waiting(), tokensMade, moveCostTokens);
     for (StragglerPolicy.Move move : stragglers.decide(progress, spares)) {
-      movedTokens += running.get(move.slot()).moveTo(move.toEndpoint());
+      int keptTokens = running.get(move.slot()).moveTo(move.toEndpoint());
+      movedTokens += keptTokens;
+      moveCostTokens += StragglerPolicy.costTokens(keptTokens);
       moves++;
     }
   }
 
   private static StragglerPolicy.SpareEndpoint spare(EndpointView view) {
     return new StragglerPolicy.SpareEndpoint(
-        view.name(), view.limit() - view.inFlight(), view.servedVersion(), view.timePerTokenMs());
+        view.name(),
+        view.inFlight(),
+        Math.max(0, view.limit() - view.inFlight()),
+        view.servedVersion(),
+        view.timePerTokenMs());
   }
 
   /** Ends the step: cancels what runs, answers a waiting poll, and frees what it kept. */
