--- a/core/src/main/java/org/sycamoretrack/core/version/RolloutEndpoint.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/RolloutEndpoint.java
@@ -90,7 +90,7 @@
 
   /** Returns whether the engine gets no new work because of a load, whoever ordered it. */
   boolean isOutOfService() {
-    return load == null ? reportsLoading() : !load.inPlace;
+    return loadsForOthers() || (load != null && !load.inPlace);
   }
 
   private boolean reportsLoading() {
@@ -227,13 +227,18 @@
     failures++;
   }
 
-  RolloutStatus status(boolean staysInService) {
+  /** Returns whether the engine loads by the order of another node. */
+  boolean loadsForOthers() {
+    return load == null && reportsLoading();
+  }
+
+  RolloutStatus status(boolean outOfService) {
     return new RolloutStatus(
         name,
         servedVersion(),
         proven,
         load == null ? reportedLoading : load.version,
-        isOutOfService() && !(load == null && staysInService),
+        outOfService,
         reachable,
         failures);
   }
--- a/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
@@ -108,7 +108,7 @@
   private final Backoff backoff;
   private final OrderBudget budget = new OrderBudget();
   private final Map<String, RolloutEndpoint> endpoints = new LinkedHashMap<>();
-  private boolean loadsInPlace;
+  private Situation situation = new Situation(UNKNOWN_VERSION, 0, 1, 0, List.of());
 
   /**
    * Creates a rollout that knows nothing of its engines.
@@ -124,24 +124,24 @@
   /**
    * Says what to do now.
    *
-   * @param situation the situation
+   * @param current the situation
    * @param nowMs the monotonic time in milliseconds
    * @return the commands, in the order in which they are to be carried out
    */
-  public List<Command> plan(Situation situation, long nowMs) {
-    follow(situation.engines());
-    loadsInPlace = floorAllowance(situation) == 0;
-    budget.refill(situation.ordersPerSecond(), nowMs);
+  public List<Command> plan(Situation current, long nowMs) {
+    situation = current;
+    follow(current.engines());
+    budget.refill(current.ordersPerSecond(), nowMs);
     List<Command> commands = new ArrayList<>();
-    for (Engine engine : situation.engines()) {
+    for (Engine engine : current.engines()) {
       endpoint(engine).checkTimeout(nowMs);
       if (engine.followed() && endpoint(engine).beginRead(nowMs)) {
         commands.add(new Command.Read(engine.name()));
       }
     }
-    if (situation.epoch() > 0 && situation.targetVersion() != UNKNOWN_VERSION) {
-      addProbes(situation, nowMs, commands);
-      addOrders(situation, nowMs, commands);
+    if (current.epoch() > 0 && current.targetVersion() != UNKNOWN_VERSION) {
+      addProbes(nowMs, commands);
+      addOrders(nowMs, commands);
     }
     return commands;
   }
@@ -154,7 +154,7 @@
     }
   }
 
-  private void addProbes(Situation situation, long nowMs, List<Command> commands) {
+  private void addProbes(long nowMs, List<Command> commands) {
     for (Map.Entry<String, RolloutEndpoint> entry : endpoints.entrySet()) {
       if (entry.getValue().beginProbe(situation.targetVersion(), nowMs)) {
         commands.add(new Command.Probe(entry.getKey()));
@@ -162,7 +162,7 @@
     }
   }
 
-  private void addOrders(Situation situation, long nowMs, List<Command> commands) {
+  private void addOrders(long nowMs, List<Command> commands) {
     List<Engine> candidates =
         situation.engines().stream()
             .filter(engine -> endpoint(engine).wantsOrder(situation.targetVersion(), nowMs))
@@ -173,7 +173,7 @@
                     .thenComparing(Engine::name))
             .toList();
     for (Engine engine : candidates) {
-      boolean removable = isOut(engine) || canRemoveOne(situation);
+      boolean removable = isOut(engine) || canRemove(engine);
       if (budget.isAvailable() && (removable || noneLoads())) {
         budget.take();
         endpoint(engine).beginLoad(situation.targetVersion(), !removable, nowMs);
@@ -187,20 +187,19 @@
     return endpoints.get(engine.name());
   }
 
-  /** Returns how many engines the floor lets be out of service. */
-  private static int floorAllowance(Situation situation) {
+  /** Returns whether the floor holds without an engine that is in service now. */
+  private boolean canRemove(Engine engine) {
     int count = situation.engines().size();
-    return count - (int) Math.ceil(situation.floorShare() * count);
-  }
-
-  private boolean canRemoveOne(Situation situation) {
-    long out = situation.engines().stream().filter(this::isOut).count();
-    return out < floorAllowance(situation);
+    int allowance = count - (int) Math.ceil(situation.floorShare() * count);
+    long othersOut =
+        situation.engines().stream().filter(other -> !other.equals(engine) && isOut(other)).count();
+    return othersOut < allowance;
   }
 
   private boolean isOut(Engine engine) {
     RolloutEndpoint endpoint = endpoint(engine);
-    return !engine.inService() || !endpoint.isReachable() || endpoint.isOutOfService();
+    boolean unreachable = engine.followed() && !endpoint.isReachable();
+    return !engine.inService() || unreachable || endpoint.isOutOfService();
   }
 
   private boolean noneLoads() {
@@ -307,8 +306,17 @@
     return !noneLoads();
   }
 
-  /** Returns what is known of all engines. */
+  /**
+   * Returns what is known of all engines. One that loads by the order of another node is shown as
+   * out of service unless the floor says that it was to be loaded in service.
+   */
   public List<RolloutStatus> statuses() {
-    return endpoints.values().stream().map(endpoint -> endpoint.status(loadsInPlace)).toList();
+    return situation.engines().stream().map(this::status).toList();
+  }
+
+  private RolloutStatus status(Engine engine) {
+    RolloutEndpoint endpoint = endpoint(engine);
+    boolean inPlace = endpoint.loadsForOthers() && !canRemove(engine);
+    return endpoint.status(endpoint.isOutOfService() && !inPlace);
   }
 }
--- a/core/src/test/java/org/sycamoretrack/core/version/WeightRolloutTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/version/WeightRolloutTest.java
@@ -290,6 +290,23 @@
     assertThat(engine(0).orderTimesMs).hasSize(1);
   }
 
+  @ParameterizedTest
+  @CsvSource({"4, 0.5, false, true", "4, 0.5, true, false", "1, 0.5, false, false"})
+  void loadsOfOthersAreOutOfServiceAsTheFloorLets(
+      int count, double floor, boolean othersDrained, boolean out) {
+    addEngines(count);
+    epoch = 0;
+    floorShare = floor;
+    if (othersDrained) {
+      drained.addAll(List.of("e11", "e12"));
+    }
+    runFor(1_000);
+    engine(0).loading = 2;
+    engine(0).loadedAtMs = Long.MAX_VALUE;
+    runFor(1_100);
+    assertThat(rollout.statuses().get(0).outOfService()).isEqualTo(out);
+  }
+
   @Test
   void droppedOrderIsGivenAgain() {
     addEngines(1);
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
@@ -9,11 +9,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.Member;
+import org.sycamoretrack.core.process.MemberState;
+import org.sycamoretrack.core.process.MembershipView;
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.core.version.PoolType;
 import org.sycamoretrack.core.version.Resource;
@@ -127,6 +131,10 @@
     return new Resource(name, Map.of(), 1, spec);
   }
 
+  private static Member member(String nodeId, String zone) {
+    return new Member(nodeId, zone, "svealand", "127.0.0.1:1", 1, 1, MemberState.ALIVE, 1);
+  }
+
   private void tick() {
     nowMs += TICK_MS;
     for (TestNode node : nodes) {
@@ -265,6 +273,38 @@
     assertThat(ordersOf("b").getFirst().atMs() - handedOverAtMs).isLessThan(2_000);
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void gracefulStopLetsTheNextTakeOverAtOnce(boolean checks) {
+    start(checks);
+    TestNode first = new TestNode("a", "a1");
+    TestNode second = new TestNode("b", "b1");
+    second.wants = false;
+    runUntil(() -> allServe(2));
+    first.wants = false;
+    second.wants = true;
+    first.lease.release();
+    latest = 3;
+    long stoppedAtMs = nowMs;
+    runUntil(() -> allServe(3));
+    long marginMs = checks ? 0 : LEASE.pauseMarginMs();
+    assertThat(ordersOf("b").getFirst().atMs() - stoppedAtMs).isBetween(marginMs, marginMs + 2_000);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"svea-a, true", "svea-c, false"})
+  void groupIsOwnedInItsZoneWhileAnyNodeIsThere(String zone, boolean local) {
+    Member self = member("a", "svea-a");
+    MembershipView view = new MembershipView(self, List.of(member("b", "svea-b")));
+    RolloutGroup group = new RolloutGroup("modellhall", zone);
+    long owners =
+        Stream.of("a", "b").filter(id -> WeightRolloutService.owns(group, view, id)).count();
+    assertThat(owners).isEqualTo(1);
+    if (local) {
+      assertThat(WeightRolloutService.owns(group, view, "a")).isTrue();
+    }
+  }
+
   @Test
   void restartedNodeTakesItsGroupAgainWithAHigherEpoch() {
     TestNode before = new TestNode("a", "a1");
