--- a/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerCodec.java
@@ -110,7 +110,19 @@
     frame.readBytes(bytes);
     FieldReader fields = readFields(bytes);
     Function<FieldReader, ? extends PeerMessage> decoder = decoders.get(fields.string(TYPE_FIELD));
-    return decoder == null ? null : decoder.apply(fields);
+    return decoder == null ? null : apply(decoder, fields);
+  }
+
+  /** Applies a decoder; whatever it throws, the frame does not hold such a message. */
+  private static PeerMessage apply(
+      Function<FieldReader, ? extends PeerMessage> decoder, FieldReader fields) {
+    try {
+      return decoder.apply(fields);
+    } catch (MalformedFrameException e) {
+      throw e;
+    } catch (RuntimeException e) {
+      throw new MalformedFrameException("a message can't be decoded: " + e);
+    }
   }
 
   private static FieldReader readFields(byte[] bytes) {
