Send loads of engines to other zones too

Cause: loads went to nodes of the same zone only, so that a node knew no served version of engines in other zones; a step whose bound asked for version 1 or later could run on the engines of one zone only (seen in the state dump: servedVersion 0 for engines of other zones). Change: loads go in turn to a few nodes of the zone and a few of the others each second.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.process;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -29,9 +30,9 @@
  * it hears of; an address is forgotten when no seed, host or remembered member has it. Each change
  * publishes a new view, which any thread may read.
  *
- * <p>Once a second the node sends its load to nodes of its zone. To bound the traffic it sends to
- * {@value #LOADS_PER_ROUND} of them a round, in turn: with 4 nodes in the zone each hears all
- * others every second, with 60 every 10 s.
+ * <p>Once a second the node sends its load to nodes of its zone and of other zones. To bound the
+ * traffic it sends to {@value #LOADS_PER_ROUND} of either a round, in turn: with 4 nodes in each of
+ * 3 zones the zone hears it every second and the others every 2 s.
  */
 public final class MembershipService {
   private static final long TICK_MS = 50;
@@ -51,7 +52,8 @@
   private final Set<InetSocketAddress> hosts = new HashSet<>();
   private volatile MembershipView view;
   private volatile Supplier<byte[]> load = () -> null;
-  private int nextLoadReceiver;
+  private int ownZoneTurn;
+  private int otherZonesTurn;
 
   private MembershipService(Builder builder) {
     this.control = Objects.requireNonNull(builder.control, "control");
@@ -251,19 +253,32 @@
 
   private void sendLoad() {
     byte[] payload = load.get();
-    List<String> receivers = view.aliveIds(view.self().zone());
     if (payload == null) {
       return;
     }
     LoadFrame frame = new LoadFrame(payload);
+    String zone = view.self().zone();
+    List<String> others = new ArrayList<>();
+    for (Member member : view.alive()) {
+      if (!member.zone().equals(zone)) {
+        others.add(member.nodeId());
+      }
+    }
+    ownZoneTurn = sendInTurn(frame, view.aliveIds(zone), ownZoneTurn);
+    otherZonesTurn = sendInTurn(frame, others, otherZonesTurn);
+  }
+
+  /** Sends to a few receivers, the next ones in turn; returns where the next round goes on. */
+  private int sendInTurn(LoadFrame frame, List<String> receivers, int turn) {
+    int next = turn;
     int sent = 0;
     for (int tried = 0; tried < receivers.size() && sent < LOADS_PER_ROUND; tried++) {
-      String receiver = receivers.get(nextLoadReceiver++ % receivers.size());
+      String receiver = receivers.get(next++ % receivers.size());
       if (!receiver.equals(view.self().nodeId()) && link.send(receiver, frame)) {
         sent++;
       }
     }
-    nextLoadReceiver %= Math.max(1, receivers.size());
+    return next % Math.max(1, receivers.size());
   }
 
   private void onLoadFrame(String from, LoadFrame frame) {
