--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/CapacityMeasure.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/CapacityMeasure.java
@@ -131,16 +131,18 @@
             "times/s/node",
             "cpu %",
             "MB",
+            "bytes/s/node",
             "part");
     for (RoleCost cost : RoleCosts.all(SAMPLERS)) {
       report.row(
           cost.role(),
           cost.operation(),
           "" + cost.size(),
-          format("%.2f", cost.micros()),
+          cost.micros() == 0 ? "-" : format("%.2f", cost.micros()),
           cost.perSecond() == 0 ? "-" : format("%.3f", cost.perSecond()),
-          cost.perSecond() == 0 ? "-" : format("%.4f", 100 * cost.cpuShare()),
+          cost.cpuShare() == 0 ? "-" : format("%.4f", 100 * cost.cpuShare()),
           cost.megabytes() == 0 ? "-" : format("%.2f", cost.megabytes()),
+          cost.bytesPerS() == 0 ? "-" : format("%.0f", cost.bytesPerS()),
           cost.control() ? "control" : "traffic");
       if (cost.control()) {
         controlCpu += cost.cpuShare();
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/RoleCosts.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/RoleCosts.java
@@ -40,13 +40,17 @@
   private static final double CHANGES_PER_S = LetterSize.CHANGES_PER_DAY / LetterSize.S_PER_DAY;
   private static final double MEMBER_EVENTS_PER_S =
       LetterSize.MEMBER_EVENTS_PER_DAY / LetterSize.S_PER_DAY;
-  private static final double ROUTE_BUILDS_PER_S = 10;
+  private static final double ROUTE_BUILDS_PER_S = 20;
   private static final double STRAGGLER_CHECKS_PER_S = 5;
   private static final double POLLS_PER_S = 1;
   private static final double KEYED_SHARE = 0.05;
   private static final int CLAIM_RANGES = 64;
+  private static final double ENGINE_POLLS_PER_S = 2;
+  private static final int ENGINE_POLL_BYTES = 350;
+  private static final double HOST_LIST_READS_PER_S = 0.6;
+  private static final int HOST_BYTES = 130;
   private static final int LOAD_BYTES = 20;
-  private static final int LOAD_RECEIVERS = 6;
+  private static final int LOAD_RECEIVERS = 12;
   private static final int HEADER_BYTES = 52;
   private static final int CHANGE_BYTES = 400;
   private static final int SAMPLE_CHARS = 2_000;
@@ -67,6 +71,8 @@
     costs.add(queue());
     costs.add(tokens());
     costs.add(loads());
+    costs.add(enginePolls());
+    costs.add(hostList());
     costs.add(stepPoll());
     costs.add(stragglers());
     costs.add(claims());
@@ -223,6 +229,22 @@
         true);
   }
 
+  /** The owner of an endpoint reads its load and weights; the time of the calls is not measured. */
+  private static RoleCost enginePolls() {
+    double perSecond = ENGINE_POLLS_PER_S * OWN_ENDPOINTS;
+    double bytes = perSecond * (ENGINE_POLL_BYTES + 2.0 * HEADER_BYTES);
+    return new RoleCost(
+        "endpoints", "read own engines", OWN_ENDPOINTS, 0, perSecond, 0, bytes, true);
+  }
+
+  /** Every node reads the whole list; the time to parse it is not measured. */
+  private static RoleCost hostList() {
+    int hosts = LetterSize.SAMPLERS + LetterSize.NODES;
+    double bytes = HOST_LIST_READS_PER_S * hosts * HOST_BYTES;
+    return new RoleCost(
+        "membership", "read the host list", hosts, 0, HOST_LIST_READS_PER_S, 0, bytes, true);
+  }
+
   private static RoleCost stepPoll() {
     Supplier<StepState> factory = RoleCosts::fullStep;
     StepState state = factory.get();
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/version/RolloutModel.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/version/RolloutModel.java
@@ -15,7 +15,7 @@
  * are under way at the weight store is not limited; the rate of orders is.
  */
 public final class RolloutModel {
-  private static final double PLAN_INTERVAL_MS = 50;
+  private static final double PLAN_INTERVAL_MS = 100;
   private static final double CALL_MS = 2;
   private static final double PROBE_MS = 60;
   private static final double HORIZON_MS = 600_000;
--- a/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
@@ -173,8 +173,11 @@
                     .thenComparing(Engine::name))
             .toList();
     for (Engine engine : candidates) {
+      if (!budget.isAvailable()) {
+        return;
+      }
       boolean removable = isOut(engine) || canRemove(engine);
-      if (budget.isAvailable() && (removable || noneLoads())) {
+      if (removable || noneLoads()) {
         budget.take();
         endpoint(engine).beginLoad(situation.targetVersion(), !removable, nowMs);
         commands.add(
