Plan again when a load's result arrives; poll only groups of concern

A group with a floor of one engine out at a time is as fast as one load and its proof. The end of a load was seen at a read every 100 ms and acted on at the next poll, another 100 ms later, twice for each engine. Results now lead to a new plan at once while a load is under way, and loading engines are read every 50 ms.

A poll went over all groups of the configuration, also those that the node neither owns nor follows: at 4,200 engines that is most of its cost. Which groups concern the node is now computed once a second. A group that moved away is polled until its epoch is given back.

--- a/core/src/main/java/org/sycamoretrack/core/version/RolloutTimes.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/RolloutTimes.java
@@ -16,7 +16,7 @@
     long retryBaseMs,
     long retryMaxMs) {
   /** The durations that nodes use unless their settings say otherwise. */
-  public static final RolloutTimes DEFAULT = new RolloutTimes(1_000, 100, 10_000, 250, 5_000);
+  public static final RolloutTimes DEFAULT = new RolloutTimes(1_000, 50, 10_000, 250, 5_000);
 
   /** Checks the durations. */
   public RolloutTimes {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.sycamoretrack.core.version.ResourceSpec;
@@ -18,6 +20,9 @@
  *
  * <p>A plan is made with the epoch as it is then; the clock and the lease are looked at once more
  * immediately before each order is sent, since the thread may have been paused in between.
+ *
+ * <p>While a load is under way, each result is followed by a new plan at once, so that the end of a
+ * load makes room for the next without waiting for the timer.
  */
 final class GroupRollout {
   private static final System.Logger LOG = System.getLogger(GroupRollout.class.getName());
@@ -38,6 +43,9 @@
   private int ordersUnderWay;
   private long calls;
   private Scope scope;
+  private RolloutSurroundings surroundings;
+  private long targetVersion;
+  private boolean planning;
 
   GroupRollout(
       RolloutGroup group,
@@ -64,18 +72,45 @@
    * @param targetVersion the version to bring the engines to
    */
   void poll(Scope current, RolloutSurroundings surroundings, long targetVersion) {
-    scope = current;
+    this.scope = current;
+    this.surroundings = surroundings;
+    this.targetVersion = targetVersion;
+    authority.poll(surroundings.owns(group), ordersUnderWay > 0);
+    plan();
+  }
+
+  private void plan() {
+    planning = true;
     boolean owns = surroundings.owns(group);
-    authority.poll(owns, ordersUnderWay > 0);
-    long epoch = owns ? epoch() : 0;
     List<WeightRollout.Engine> members =
-        current.addresses().keySet().stream()
-            .map(name -> engine(name, owns, surroundings))
-            .toList();
+        scope.addresses().keySet().stream().map(name -> engine(name, owns, surroundings)).toList();
     WeightRollout.Situation situation =
         new WeightRollout.Situation(
-            targetVersion, epoch, current.ordersPerSecond(), current.pool().floorShare(), members);
+            targetVersion,
+            owns ? epoch() : 0,
+            scope.ordersPerSecond(),
+            scope.pool().floorShare(),
+            members);
     rollout.plan(situation, nowMs.getAsLong()).forEach(this::carryOut);
+    planning = false;
+  }
+
+  /** Takes a call's result and plans again if a load was or is under way. */
+  private <T> void onResult(CompletionStage<T> stage, BiConsumer<T, Throwable> action) {
+    inbox.onResult(
+        stage,
+        (value, failure) -> {
+          boolean loading = rollout.isLoading();
+          action.accept(value, failure);
+          if (!planning && (loading || rollout.isLoading())) {
+            plan();
+          }
+        });
+  }
+
+  /** Returns whether the group still has to be polled, though another node owns it. */
+  boolean isHolding() {
+    return authority.isHolding();
   }
 
   private static WeightRollout.Engine engine(
@@ -101,7 +136,7 @@
   }
 
   private void read(String endpoint, InetSocketAddress address) {
-    inbox.onResult(
+    onResult(
         engines.weights(address),
         (weights, failure) -> {
           if (failure == null) {
@@ -114,7 +149,7 @@
   }
 
   private void probe(String endpoint, InetSocketAddress address) {
-    inbox.onResult(
+    onResult(
         VersionProbe.send(engines, address, scope.pool().model(), callId("weight-probe")),
         (version, failure) -> {
           if (failure == null) {
@@ -139,8 +174,7 @@
       return;
     }
     ordersUnderWay++;
-    inbox.onResult(
-        engines.order(address, message), (answer, failure) -> onOrderAnswer(order, answer));
+    onResult(engines.order(address, message), (answer, failure) -> onOrderAnswer(order, answer));
     log("weight-order-sent", order);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/OrderAuthority.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/OrderAuthority.java
@@ -98,6 +98,11 @@
     return valid && (checksFence || nowMs.getAsLong() >= orderAfterMs) ? held.epoch() : 0;
   }
 
+  /** Returns whether the row was taken and not given back, or is being read or written. */
+  boolean isHolding() {
+    return held != null || busy;
+  }
+
   /**
    * Takes or gives back the right, as wanted.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.agrona.concurrent.NanoClock;
 import org.sycamoretrack.core.process.MembershipView;
 import org.sycamoretrack.core.process.RendezvousHash;
@@ -34,9 +36,14 @@
  * <p>The weight store's rate is divided among groups in proportion to their engines, so that all
  * owners together keep it without talking to each other.
  *
+ * <p>Which groups concern this node is computed once a second, so that a poll costs no more for
+ * groups that it has nothing to do with.
+ *
  * <p>{@link #poll} runs on the control thread. {@link #view} may be called from any thread.
  */
 public final class WeightRolloutService {
+  private static final long CONCERN_INTERVAL_MS = 1_000;
+
   private final String nodeId;
   private final TableStore table;
   private final WeightStore weightStore;
@@ -53,6 +60,8 @@
   private final Map<String, ModelVersion> models = new HashMap<>();
   private Map<RolloutGroup, GroupRollout.Scope> scopes = Map.of();
   private long scopedVersion = -1;
+  private Set<RolloutGroup> concerned = Set.of();
+  private long nextConcernMs = Long.MIN_VALUE;
   private volatile RolloutView view = RolloutView.EMPTY;
 
   /** The newest version of a model, as far as this node has asked. */
@@ -107,15 +116,27 @@
   public void poll() {
     inbox.drain();
     Configuration configuration = surroundings.configuration();
-    if (configuration.version() != scopedVersion) {
+    boolean changed = configuration.version() != scopedVersion;
+    if (changed) {
       scopes = scopes(configuration);
       scopedVersion = configuration.version();
-      rollouts.keySet().retainAll(scopes.keySet());
     }
-    scopes.forEach(this::poll);
+    if (changed || nowMs() >= nextConcernMs) {
+      nextConcernMs = nowMs() + CONCERN_INTERVAL_MS;
+      concerned = scopes.keySet().stream().filter(this::concerns).collect(Collectors.toSet());
+      rollouts.keySet().retainAll(concerned);
+    }
+    concerned.forEach(group -> poll(group, scopes.get(group)));
     publish();
   }
 
+  private boolean concerns(RolloutGroup group) {
+    GroupRollout rollout = rollouts.get(group);
+    return surroundings.owns(group)
+        || (rollout != null && rollout.isHolding())
+        || scopes.get(group).addresses().keySet().stream().anyMatch(surroundings::looksAfter);
+  }
+
   private void poll(RolloutGroup group, GroupRollout.Scope scope) {
     ModelVersion model = models.computeIfAbsent(scope.pool().model(), any -> new ModelVersion());
     if (surroundings.owns(group)) {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
@@ -53,6 +53,7 @@
     final LeaseService lease;
     final WeightRolloutService service;
     boolean wants = true;
+    boolean looksAfterAll = true;
     boolean paused;
     Runnable beforeOrders = () -> {};
 
@@ -98,7 +99,7 @@
 
     @Override
     public boolean looksAfter(String endpoint) {
-      return true;
+      return looksAfterAll;
     }
 
     @Override
@@ -198,6 +199,23 @@
     assertThat(node.service.view().endpoints()).hasSize(ENGINES);
   }
 
+  @Test
+  void readsNothingOfGroupsThatDontConcernTheNode() {
+    TestNode node = new TestNode("a", "a1");
+    runUntil(() -> allServe(2));
+    node.wants = false;
+    node.looksAfterAll = false;
+    runFor(3_000);
+    assertThat(node.service.view().endpoints()).isEmpty();
+    new TestNode("b", "b1");
+    latest = 3;
+    long handedOverAtMs = nowMs;
+    runUntil(() -> allServe(3));
+    assertThat(ordersOf("b").getFirst().atMs() - handedOverAtMs)
+        .as("the group was given back before it was forgotten")
+        .isLessThan(2_000);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void holderThatWakesAfterItsLeaseLapsedOrdersNothing(boolean checks) {
