Add the operators' command line

Validation is done by a node, which sees the resources of a file together with the configuration in force: checking references one by one was ruled out, as a file that creates a pool and its endpoints would then be refused. Waiting counts members that the nodes see, also those that the context does not name.

--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/Deployment.java
@@ -0,0 +1,81 @@
+package org.sycamoretrack.cli.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.sycamoretrack.cli.process.CliException;
+import org.sycamoretrack.transport.request.HttpFailure;
+
+/** The states of all nodes of the context, read one after the other. */
+final class Deployment {
+  private final Map<String, JsonNode> states = new LinkedHashMap<>();
+  private final Map<String, String> unreachable = new LinkedHashMap<>();
+
+  private Deployment() {}
+
+  static Deployment read(OperatorCalls calls) {
+    Deployment deployment = new Deployment();
+    for (String nodeId : calls.nodeIds()) {
+      try {
+        deployment.states.put(
+            nodeId,
+            OperatorCalls.successful(calls.call(nodeId, "GET", "/state", null, Map.of()), nodeId));
+      } catch (HttpFailure e) {
+        deployment.unreachable.put(nodeId, e.getMessage());
+      } catch (CliException e) {
+        deployment.unreachable.put(nodeId, e.line());
+      }
+    }
+    return deployment;
+  }
+
+  /** Returns the states of the nodes that answered, by node id. */
+  Map<String, JsonNode> states() {
+    return states;
+  }
+
+  /** Returns why nodes did not answer, by node id. */
+  Map<String, String> unreachable() {
+    return unreachable;
+  }
+
+  static long versionOf(JsonNode state) {
+    return state.at("/control/configurationVersion").asLong();
+  }
+
+  /**
+   * Returns the version in force on each node that is live: those that answered, and those that
+   * they see as members, with the version that these were last heard to have.
+   */
+  Map<String, Long> liveVersions() {
+    Map<String, Long> versions = new TreeMap<>();
+    for (JsonNode state : states.values()) {
+      for (JsonNode member : state.at("/control/members")) {
+        if (!member.path("state").asText().equals("DEAD")) {
+          versions.merge(
+              member.path("nodeId").asText(), member.path("configVersion").asLong(), Math::max);
+        }
+      }
+    }
+    states.forEach((nodeId, state) -> versions.merge(nodeId, versionOf(state), Math::max));
+    return versions;
+  }
+
+  /** Returns the nodes that are live or in the context and are not known to have a version. */
+  Set<String> nodesBehind(long version) {
+    TreeSet<String> behind = new TreeSet<>(unreachable.keySet());
+    liveVersions()
+        .forEach(
+            (nodeId, inForce) -> {
+              if (inForce < version) {
+                behind.add(nodeId);
+              } else {
+                behind.remove(nodeId);
+              }
+            });
+    return behind;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/DiffCommand.java
@@ -0,0 +1,62 @@
+package org.sycamoretrack.cli.request;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.TreeSet;
+import org.sycamoretrack.cli.process.ExitCode;
+
+/** Shows what {@code apply} would change. */
+@Parameters(commandDescription = "Show what apply would change; exit code 5 when anything")
+public final class DiffCommand implements Command {
+  @ParametersDelegate private final FileOption file = new FileOption();
+
+  @Override
+  public String name() {
+    return "diff";
+  }
+
+  @Override
+  public String[] examples() {
+    return new String[] {"sycamoretrack diff -f pools.json"};
+  }
+
+  @Override
+  public ExitCode run(OperatorCalls calls, Output out) {
+    Resources resources = new Resources(calls);
+    boolean different = false;
+    for (JsonNode resource : resources.validate(file.read())) {
+      JsonNode before =
+          resources.find(resource.path("kind").asText(), resource.path("name").asText());
+      if (before == null) {
+        out.line("+ " + ResourceFile.key(resource));
+        different = true;
+      } else if (!Resources.isSame(before, resource)) {
+        out.line("~ " + ResourceFile.key(resource) + " at version " + before.path("version"));
+        compare("/labels", before.path("labels"), resource.path("labels"), out);
+        compare("/spec", before.path("spec"), resource.path("spec"), out);
+        different = true;
+      }
+    }
+    return different ? ExitCode.DIFFERENT : ExitCode.OK;
+  }
+
+  private static void compare(String pointer, JsonNode before, JsonNode after, Output out) {
+    if (before.equals(after)) {
+      return;
+    }
+    if (!before.isObject() || !after.isObject()) {
+      out.line("  " + pointer + ": " + shown(before) + " -> " + shown(after));
+      return;
+    }
+    TreeSet<String> fields = new TreeSet<>();
+    before.fieldNames().forEachRemaining(fields::add);
+    after.fieldNames().forEachRemaining(fields::add);
+    fields.forEach(
+        field -> compare(pointer + "/" + field, before.path(field), after.path(field), out));
+  }
+
+  private static String shown(JsonNode value) {
+    return value.isMissingNode() ? "(none)" : value.toString();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/DrainCommand.java
@@ -0,0 +1,66 @@
+package org.sycamoretrack.cli.request;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
+import java.util.TreeSet;
+import org.sycamoretrack.cli.process.ExitCode;
+import org.sycamoretrack.transport.process.Json;
+
+/** Keeps new work from the endpoints that a selector matches. */
+@Parameters(commandDescription = "Give matching endpoints no new work")
+public final class DrainCommand implements Command {
+  @Parameter(
+      names = "--selector",
+      required = true,
+      description = "key=value,... or a selector in JSON; name, pool and zone are labels too")
+  private String selector;
+
+  @Parameter(names = "--name", description = "name of the drain; made from the selector if absent")
+  private String drainName;
+
+  @ParametersDelegate private final WaitOptions wait = new WaitOptions();
+
+  @Override
+  public String name() {
+    return "drain";
+  }
+
+  @Override
+  public String[] examples() {
+    return new String[] {
+      "sycamoretrack drain --selector zone=svea-a --wait",
+      "sycamoretrack drain --name half --selector "
+          + "'{\"matchExpressions\":[{\"key\":\"rack\",\"operator\":\"In\",\"values\":[\"1\"]}]}'"
+    };
+  }
+
+  /** Returns the name of the drain of a selector that was given none. */
+  static String defaultName(JsonNode selector) {
+    return "drain-" + Integer.toHexString(selector.toString().hashCode());
+  }
+
+  @Override
+  public ExitCode run(OperatorCalls calls, Output out) {
+    JsonNode parsed = SelectorText.parse(selector);
+    ObjectNode drain = Json.object().put("kind", "drains");
+    drain.put("name", drainName == null ? defaultName(parsed) : drainName);
+    drain.putObject("spec").put("kind", "endpoints").set("selector", parsed);
+    Resources resources = new Resources(calls);
+    long version = resources.put(drain, 0).path("version").asLong();
+    Set<String> endpoints = new TreeSet<>();
+    resources
+        .list("endpoints", parsed)
+        .forEach(endpoint -> endpoints.add(endpoint.path("name").asText()));
+    out.line(ResourceFile.key(drain) + " at version " + version + " drains " + endpoints);
+    if (!wait.isWaiting()) {
+      return ExitCode.OK;
+    }
+    Waiter waiter = wait.waiter(calls, out);
+    ExitCode inForce = waiter.awaitVersion(version);
+    return inForce == ExitCode.OK ? waiter.awaitIdle(endpoints) : inForce;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/DumpCommand.java
@@ -0,0 +1,45 @@
+package org.sycamoretrack.cli.request;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.cli.process.CliException;
+import org.sycamoretrack.cli.process.ExitCode;
+import org.sycamoretrack.transport.request.HttpFailure;
+
+/** Shows the whole state of one node. */
+@Parameters(commandDescription = "Show the state of a node's process in JSON")
+public final class DumpCommand implements Command {
+  @Parameter(description = "NODE", required = true)
+  private List<String> nodes = new ArrayList<>();
+
+  @Override
+  public String name() {
+    return "dump";
+  }
+
+  @Override
+  public String[] examples() {
+    return new String[] {"sycamoretrack dump svea-a-1"};
+  }
+
+  @Override
+  public ExitCode run(OperatorCalls calls, Output out) {
+    if (nodes.size() != 1) {
+      throw CliException.usage("dump takes one NODE", "the context names the nodes");
+    }
+    String node = nodes.get(0);
+    try {
+      out.json(OperatorCalls.successful(calls.call(node, "GET", "/state", null, Map.of()), node));
+    } catch (HttpFailure e) {
+      throw new CliException(
+          ExitCode.UNREACHABLE,
+          "peer-unavailable",
+          node + " can't be reached: " + e.getMessage(),
+          "status shows which nodes can");
+    }
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/Resources.java
@@ -0,0 +1,110 @@
+package org.sycamoretrack.cli.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.sycamoretrack.cli.process.CliException;
+import org.sycamoretrack.cli.process.ExitCode;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** Reads and changes resources through the nodes. */
+final class Resources {
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+
+  private final OperatorCalls calls;
+
+  Resources(OperatorCalls calls) {
+    this.calls = calls;
+  }
+
+  private static String target(String kind, String name) {
+    return "/v1/resources/" + encode(kind) + "/" + encode(name);
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+
+  /** Returns the resources of a kind that match a selector, or all of them for null. */
+  JsonNode list(String kind, JsonNode selector) {
+    String query = selector == null ? "" : "?selector=" + encode(selector.toString());
+    return calls.get("/v1/resources/" + encode(kind) + query).path("items");
+  }
+
+  /** Returns a resource, or null when there is none. */
+  JsonNode find(String kind, String name) {
+    HttpAnswer answer = calls.callAny("GET", target(kind, name), null, Map.of());
+    return answer.status() == NOT_FOUND
+        ? null
+        : OperatorCalls.successful(answer, kind + "/" + name);
+  }
+
+  /** Returns a resource. */
+  JsonNode get(String kind, String name) {
+    return calls.get(target(kind, name));
+  }
+
+  /** Has all mistakes found, and returns the resources with their defaults filled in. */
+  List<JsonNode> validate(List<JsonNode> resources) {
+    ObjectNode body = Json.object();
+    resources.forEach(body.putArray("resources")::add);
+    HttpAnswer answer = calls.callAny("POST", "/v1/validate", body, Map.of());
+    List<JsonNode> normalized = new ArrayList<>();
+    OperatorCalls.successful(answer, "resources").path("resources").forEach(normalized::add);
+    return normalized;
+  }
+
+  /** Returns whether two resources say the same, whatever their versions. */
+  static boolean isSame(JsonNode one, JsonNode other) {
+    return one.path("labels").equals(other.path("labels"))
+        && one.path("spec").equals(other.path("spec"));
+  }
+
+  /**
+   * Creates or changes a resource.
+   *
+   * @param expectedVersion the version that it must have; 0 for any
+   */
+  JsonNode put(JsonNode resource, long expectedVersion) {
+    return change("PUT", ResourceFile.key(resource), resource, expectedVersion);
+  }
+
+  /** Removes a resource. */
+  JsonNode delete(String kind, String name, long expectedVersion) {
+    return change("DELETE", kind + "/" + name, null, expectedVersion);
+  }
+
+  private JsonNode change(String method, String key, JsonNode body, long expectedVersion) {
+    int slash = key.indexOf('/');
+    Map<String, String> headers =
+        expectedVersion == 0 ? Map.of() : Map.of("if-match", "\"" + expectedVersion + "\"");
+    HttpAnswer answer =
+        calls.callAny(
+            method, target(key.substring(0, slash), key.substring(slash + 1)), body, headers);
+    if (answer.status() == CONFLICT) {
+      throw conflict(key, expectedVersion, answer.json().path("current"));
+    }
+    return OperatorCalls.successful(answer, key);
+  }
+
+  private static CliException conflict(String key, long expectedVersion, JsonNode current) {
+    String now = current.isObject() ? "is at version " + current.path("version") : "does not exist";
+    return new CliException(
+        ExitCode.CONFLICT,
+        "version-conflict",
+        key
+            + " "
+            + now
+            + ", the change was made for version "
+            + expectedVersion
+            + "; current: "
+            + current,
+        "get it again, apply your change to that, or leave the version out to overwrite");
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/StepsCommand.java
@@ -0,0 +1,56 @@
+package org.sycamoretrack.cli.request;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.sycamoretrack.cli.process.ExitCode;
+
+/** Shows the open steps on all nodes. */
+@Parameters(commandDescription = "Show the open steps and how far they are")
+public final class StepsCommand implements Command {
+  @Parameter(names = "--track", description = "of this track only")
+  private String track;
+
+  @Override
+  public String name() {
+    return "steps";
+  }
+
+  @Override
+  public String[] examples() {
+    return new String[] {"sycamoretrack steps --track cut-patterns"};
+  }
+
+  @Override
+  public ExitCode run(OperatorCalls calls, Output out) {
+    Deployment deployment = Deployment.read(calls);
+    List<List<String>> rows = new ArrayList<>();
+    deployment
+        .states()
+        .forEach(
+            (nodeId, state) -> {
+              for (JsonNode step : state.at("/requests/steps")) {
+                if (track == null || track.equals(step.path("track").asText())) {
+                  rows.add(row(nodeId, step));
+                }
+              }
+            });
+    out.table(
+        List.of("TRACK", "STEP", "NODE", "SLOTS", "WAITING", "RUNNING", "FINISHED", "RECEIVED"),
+        rows);
+    return StatusCommand.report(deployment, out);
+  }
+
+  private static List<String> row(String nodeId, JsonNode step) {
+    List<String> cells = new ArrayList<>();
+    cells.add(step.path("track").asText());
+    cells.add(step.path("step").asText());
+    cells.add(nodeId);
+    for (String field : List.of("slots", "waiting", "running", "finished", "received")) {
+      cells.add(step.path(field).asText());
+    }
+    return cells;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/WaitOptions.java
@@ -0,0 +1,20 @@
+package org.sycamoretrack.cli.request;
+
+import com.beust.jcommander.Parameter;
+
+/** The parameters of commands that can wait for their effect. */
+public final class WaitOptions {
+  @Parameter(names = "--wait", description = "wait until the change is in force on all live nodes")
+  private boolean wait;
+
+  @Parameter(names = "--timeout-s", description = "longest time to wait, in seconds")
+  private int timeoutS = 30;
+
+  boolean isWaiting() {
+    return wait;
+  }
+
+  Waiter waiter(OperatorCalls calls, Output out) {
+    return new Waiter(calls, out, timeoutS);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/Waiter.java
@@ -0,0 +1,91 @@
+package org.sycamoretrack.cli.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.sycamoretrack.cli.process.ExitCode;
+
+/** Waits until a change is in force, and shows how far it is. */
+final class Waiter {
+  private static final long POLL_MS = 250;
+
+  private final OperatorCalls calls;
+  private final Output out;
+  private final long deadlineNanos;
+
+  Waiter(OperatorCalls calls, Output out, int timeoutS) {
+    this.calls = calls;
+    this.out = out;
+    this.deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(timeoutS);
+  }
+
+  /** Waits until all live nodes have a version in force. */
+  ExitCode awaitVersion(long version) {
+    String shown = "";
+    while (true) {
+      Deployment deployment = Deployment.read(calls);
+      Set<String> behind = deployment.nodesBehind(version);
+      if (behind.isEmpty()) {
+        out.line(
+            "version "
+                + version
+                + " is in force on all "
+                + deployment.liveVersions().size()
+                + " nodes");
+        return ExitCode.OK;
+      }
+      String progress = "version " + version + " is not in force yet on " + behind;
+      if (!progress.equals(shown)) {
+        out.line(progress);
+        shown = progress;
+      }
+      if (isOver()) {
+        deployment
+            .unreachable()
+            .forEach((nodeId, problem) -> out.line(nodeId + " can't be reached: " + problem));
+        return ExitCode.INCOMPLETE;
+      }
+    }
+  }
+
+  /** Waits until endpoints have no work in flight on any node that answers. */
+  ExitCode awaitIdle(Set<String> endpoints) {
+    String shown = "";
+    while (true) {
+      Set<String> busy = busy(endpoints);
+      if (busy.isEmpty()) {
+        out.line("drained " + endpoints);
+        return ExitCode.OK;
+      }
+      String progress = "work in flight on " + busy;
+      if (!progress.equals(shown)) {
+        out.line(progress);
+        shown = progress;
+      }
+      if (isOver()) {
+        return ExitCode.INCOMPLETE;
+      }
+    }
+  }
+
+  private Set<String> busy(Set<String> endpoints) {
+    Set<String> busy = new TreeSet<>();
+    for (JsonNode state : Deployment.read(calls).states().values()) {
+      for (JsonNode endpoint : state.at("/requests/endpoints")) {
+        String name = endpoint.path("name").asText();
+        if (endpoints.contains(name) && endpoint.path("inFlight").asInt() > 0) {
+          busy.add(name);
+        }
+      }
+    }
+    return busy;
+  }
+
+  /** Pauses between two looks; returns true when the time is over. */
+  private boolean isOver() {
+    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MS));
+    return System.nanoTime() - deadlineNanos >= 0;
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/OperatorApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/OperatorApi.java
@@ -83,6 +83,7 @@
           answerGet(exchange, () -> HttpAnswer.text(200, METRICS_TYPE, metrics.get()));
       case "/state" -> answerGet(exchange, () -> HttpAnswer.json(200, state()));
       case "/v1/configuration" -> answerGet(exchange, resources::configuration);
+      case "/v1/validate" -> validate(exchange);
       default -> {
         if (!path.startsWith(RESOURCES)) {
           throw notFound("there is nothing at " + path);
@@ -92,6 +93,13 @@
     }
   }
 
+  private void validate(HttpExchange exchange) {
+    if (!exchange.method().equals("POST")) {
+      throw methodNotAllowed(exchange.method());
+    }
+    exchange.respond(resources.validate(exchange.body()));
+  }
+
   private static void answerGet(HttpExchange exchange, Supplier<HttpAnswer> answer) {
     if (!exchange.method().equals("GET")) {
       throw methodNotAllowed(exchange.method());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ResourceApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ResourceApi.java
@@ -43,6 +43,17 @@
     return HttpAnswer.json(200, body);
   }
 
+  /** Checks resources as if they were all accepted, and answers them with defaults filled in. */
+  HttpAnswer validate(byte[] body) {
+    JsonNode resources = parse(body).path("resources");
+    if (!resources.isArray()) {
+      throw OperatorApi.invalid("/resources: a list of resources is needed");
+    }
+    ObjectNode answer = Json.object();
+    answer.set("resources", ResourceCodec.writeAll(service.validate(resources)));
+    return HttpAnswer.json(200, answer);
+  }
+
   /** Handles a call on {@code kind} or {@code kind/name}. */
   void handle(HttpExchange exchange, String path) {
     String[] parts = path.split("/", -1);
@@ -116,11 +127,6 @@
     requireSame(json, "kind", key.kind().wireName());
     requireSame(json, "name", key.name());
     Change change = new Change.Put(ResourceCodec.parse(json), precondition(exchange));
-    if (Boolean.parseBoolean(exchange.queryParam("dryRun"))) {
-      service.validate(change);
-      exchange.respond(HttpAnswer.json(200, json));
-      return;
-    }
     answer(
         exchange,
         service.change(change),
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
@@ -1,9 +1,11 @@
 package org.sycamoretrack.daemon.version;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -23,6 +25,8 @@
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.version.Configuration;
+import org.sycamoretrack.core.version.Resource;
+import org.sycamoretrack.core.version.Violation;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.platform.TableStore;
 import org.sycamoretrack.daemon.process.ControlAgent;
@@ -159,18 +163,37 @@
   }
 
   /**
-   * Checks what a change refers to, without making it.
+   * Checks resources as if all of them were accepted together, without changing anything.
    *
-   * @param change the change
-   * @throws SycamoreException with all mistakes
+   * @param resources a list of resources in JSON
+   * @return the resources, in the same order
+   * @throws SycamoreException with all mistakes, each with a pointer into the list
    */
-  public void validate(Change change) {
-    if (change instanceof Change.Put put) {
-      var violations = current.checkReferences(put.resource());
-      if (!violations.isEmpty()) {
-        throw InvalidResources.of(violations);
+  public List<Resource> validate(JsonNode resources) {
+    List<Violation> violations = new ArrayList<>();
+    List<Resource> parsed = new ArrayList<>();
+    IdentityHashMap<Resource, String> pointers = new IdentityHashMap<>();
+    int index = 0;
+    for (JsonNode json : resources) {
+      String pointer = "/" + index++;
+      List<Violation> found = ResourceCodec.check(json);
+      if (found.isEmpty()) {
+        Resource resource = ResourceCodec.parse(json);
+        parsed.add(resource);
+        pointers.put(resource, pointer);
       }
+      found.forEach(violation -> violations.add(violation.under(pointer)));
+    }
+    Configuration together = current.apply(current.version(), parsed, List.of());
+    for (Resource resource : parsed) {
+      together
+          .checkReferences(resource)
+          .forEach(violation -> violations.add(violation.under(pointers.get(resource))));
+    }
+    if (!violations.isEmpty()) {
+      throw InvalidResources.of(violations);
     }
+    return parsed;
   }
 
   private static SycamoreException overloaded() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ResourceCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ResourceCodec.java
@@ -41,17 +41,26 @@
    * @throws SycamoreException with all mistakes
    */
   public static Resource parse(JsonNode json) {
-    Optional<ResourceKind> kind = ResourceKind.ofWireName(json.path("kind").asText());
-    if (kind.isEmpty()) {
-      throw InvalidResources.of(List.of(new Violation("/kind", "is not a kind of resource")));
-    }
-    List<Violation> violations = ResourceValidator.check(kind.get(), json);
+    List<Violation> violations = check(json);
     if (!violations.isEmpty()) {
       throw InvalidResources.of(violations);
     }
     return read(json).withVersion(0);
   }
 
+  /**
+   * Finds the mistakes of a resource, references aside.
+   *
+   * @param json the resource
+   * @return the mistakes, empty when it can be parsed
+   */
+  public static List<Violation> check(JsonNode json) {
+    Optional<ResourceKind> kind = ResourceKind.ofWireName(json.path("kind").asText());
+    return kind.isEmpty()
+        ? List.of(new Violation("/kind", "is not a kind of resource"))
+        : ResourceValidator.check(kind.get(), json);
+  }
+
   /**
    * Reads a selector from an operator.
    *
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/OperatorApiTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/OperatorApiTest.java
@@ -230,13 +230,21 @@
   }
 
   @Test
-  void aDryRunChecksAndChangesNothing() throws Exception {
+  void validationSeesResourcesTogetherAndChangesNothing() throws Exception {
     start(null);
-    assertThat(call("PUT", "/v1/resources/pools/p?dryRun=true", POOL).status()).isEqualTo(200);
-    HttpAnswer wrong =
-        call("PUT", "/v1/resources/tracks/t?dryRun=true", "{'spec':{'trainerGroup':'none'}}");
-    assertThat(wrong.status()).isEqualTo(400);
-    assertThat(wrong.json().at("/error/message").asText()).contains("/spec/trainerGroup");
+    String pool = "{'kind':'pools','name':'p','spec':{'type':'service'}}";
+    String service = "{'kind':'services','name':'s','spec':{'pool':'p'}}";
+    String wrong = "{'kind':'tracks','name':'t','spec':{'trainerGroup':'none','scorer':'s'}}";
+    HttpAnswer right = call("POST", "/v1/validate", "{'resources':[" + service + "," + pool + "]}");
+    HttpAnswer refused =
+        call("POST", "/v1/validate", "{'resources':[" + service + "," + wrong + ",{}]}");
+
+    assertThat(right.status()).isEqualTo(200);
+    assertThat(right.json().at("/resources/0/spec/path").asText()).isEqualTo("/score");
+    assertThat(refused.status()).isEqualTo(400);
+    assertThat(refused.json().at("/error/message").asText())
+        .contains("/0/spec/pool: ", "/1/spec/trainerGroup: ", "/2/kind: ")
+        .doesNotContain("/1/spec/scorer");
     assertThat(call("GET", "/v1/configuration", null).json().path("version").asLong()).isZero();
   }
 }
