Write finished samples behind; test lease and claim services

SampleJournal collects a step's finished samples and writes them as one object at each flush; the next owner reads them. The keys carry a digest of the step's work, since a step that is opened again with other prompts must not get the old samples; SampleSink therefore gets the step's spec instead of its id, and is told when a trainer closes a step so that its objects are deleted. Bounded in characters; what doesn't fit in an outage is skipped and counted.

ClaimServiceTest runs two nodes with control threads and leases over HTTP against the stand-in. It showed that one lost answer while a range was taken refused all claims that waited for it: such a taking is now read back and the claims wait on. Logs of leases and claims are structured events.

--- a/core/src/main/java/org/sycamoretrack/core/request/StepSpec.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/StepSpec.java
@@ -1,6 +1,8 @@
 package org.sycamoretrack.core.request;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
  * What a trainer asks for in one step. Immutable.
@@ -131,4 +133,21 @@
   public boolean sameWork(StepSpec other) {
     return id.equals(other.id) && maxTokens == other.maxTokens && groups.equals(other.groups);
   }
+
+  /**
+   * Returns a digest of what the step asks for, so that samples of a step that is opened again with
+   * other work are told apart.
+   *
+   * @return 32 hexadecimal digits, the same for specs of the {@link #sameWork same work}
+   */
+  public String workDigest() {
+    StringBuilder work = new StringBuilder(id.key()).append('/').append(maxTokens);
+    for (GroupSpec group : groups) {
+      work.append('\n').append(group.samples()).append(' ').append(group.seed());
+      work.append(' ').append(group.prompt().length()).append(' ').append(group.prompt());
+    }
+    byte[] bytes = work.toString().getBytes(StandardCharsets.UTF_8);
+    long[] hash = MurmurHash3.hash128x64(bytes);
+    return "%016x%016x".formatted(hash[0], hash[1]);
+  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/LeaseService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/LeaseService.java
@@ -171,7 +171,10 @@
       grant = now;
     }
     if (now.epoch() != before.epoch()) {
-      LOGGER.log(System.Logger.Level.INFO, now.epoch() == 0 ? "lease-lost" : "lease-taken");
+      LOGGER.log(
+          System.Logger.Level.INFO,
+          LogEvent.of(now.epoch() == 0 ? "lease-lost" : "lease-taken")
+              .with("epoch", Math.max(now.epoch(), before.epoch())));
     }
     if (lease.isReleased()) {
       released.complete(null);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimContext.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimContext.java
@@ -10,6 +10,7 @@
 import org.sycamoretrack.daemon.platform.Failures;
 import org.sycamoretrack.daemon.platform.TableStore;
 import org.sycamoretrack.daemon.process.ControlInbox;
+import org.sycamoretrack.daemon.process.LogEvent;
 
 /** What all key ranges of a node share. */
 final class ClaimContext {
@@ -87,8 +88,10 @@
   void log(String event, String range, Throwable failure) {
     System.Logger.Level level =
         failure == null ? System.Logger.Level.INFO : System.Logger.Level.WARNING;
-    LOGGER.log(
-        level,
-        event + " " + range + (failure == null ? "" : " " + Failures.unwrap(failure).getMessage()));
+    LogEvent entry = LogEvent.of(event).with("range", range);
+    if (failure != null) {
+      entry.with("message", Failures.unwrap(failure).getMessage());
+    }
+    LOGGER.log(level, entry);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
@@ -196,14 +196,20 @@
           switch (result) {
             case TransactionResult.Committed committed -> recover(withVersion(next, committed));
             case TransactionResult.Conflict conflict -> retryLater();
-            case null -> {
-              mayOwn = unsettledBefore || Failures.outcome(failure) != Outcome.NOT_RUN;
-              onTakeFailed(failure);
-            }
+            case null -> onTakeUnanswered(unsettledBefore, failure);
           }
         });
   }
 
+  private void onTakeUnanswered(boolean unsettledBefore, Throwable failure) {
+    if (Failures.outcome(failure) == Outcome.NOT_RUN) {
+      mayOwn = unsettledBefore;
+      onTakeFailed(failure);
+    } else {
+      retryLater();
+    }
+  }
+
   private static ClaimTable.Owner withVersion(
       ClaimTable.Owner owner, TransactionResult.Committed committed) {
     return new ClaimTable.Owner(
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
@@ -12,7 +12,7 @@
 import org.sycamoretrack.core.process.MembershipView;
 import org.sycamoretrack.core.process.RendezvousHash;
 import org.sycamoretrack.core.request.Sample;
-import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.core.version.PoolType;
 import org.sycamoretrack.core.version.ResourceSpec;
@@ -272,7 +272,7 @@
     private Metrics metrics;
     private RouteBuilder.OutOfService outOfService = endpoint -> false;
     private SampleSink sampleSink = SampleSink.NONE;
-    private Function<StepId, CompletionStage<List<Sample>>> restore =
+    private Function<StepSpec, CompletionStage<List<Sample>>> restore =
         step -> CompletableFuture.completedFuture(List.of());
 
     private Builder() {}
@@ -347,7 +347,7 @@
      * @return this builder
      */
     public Builder samples(
-        SampleSink sink, Function<StepId, CompletionStage<List<Sample>>> restore) {
+        SampleSink sink, Function<StepSpec, CompletionStage<List<Sample>>> restore) {
       this.sampleSink = sink;
       this.restore = restore;
       return this;
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleJournal.java
@@ -0,0 +1,255 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.daemon.platform.Failures;
+import org.sycamoretrack.daemon.platform.ObjectStore;
+import org.sycamoretrack.daemon.process.LogEvent;
+
+/**
+ * Writes finished samples behind to the object store, so that the next owner of a step need not
+ * make them all again.
+ *
+ * <p>No delivery waits for it and nothing is lost without it: a sample that isn't there is made
+ * again. Samples are collected a step and written as one object at each {@link #flush}, once a
+ * second. When the object store doesn't answer, batches wait up to a bound and are then skipped and
+ * counted.
+ *
+ * <p>Keys are {@code samples/track/step/digest/writer/number}. The digest is that of the step's
+ * work: a step that is opened again with other prompts or seeds must not get the old samples. What
+ * {@link #restore} finds is checked like any other sample: one that is too old by then isn't
+ * delivered.
+ *
+ * <p>Invariant: the journal gives only whole samples of the same work, each slot once.
+ *
+ * <p>Example: node a finishes slots 0 and 2 within a second, writes {@code …/a.1/1} and dies with
+ * slot 1 unwritten. Node b opens the step, reads the batch, and generates slot 1 and the rest.
+ *
+ * <p>Thread-safe.
+ */
+public final class SampleJournal implements SampleSink {
+  private static final System.Logger LOG = System.getLogger(SampleJournal.class.getName());
+  private static final int MAX_CALLS_UNDER_WAY = 16;
+
+  /** The samples of a step that wait to be written. */
+  private static final class Buffer {
+    final String prefix;
+    final List<Sample> samples = new ArrayList<>();
+    long chars;
+    boolean writing;
+    boolean closed;
+
+    Buffer(String prefix) {
+      this.prefix = prefix;
+    }
+  }
+
+  private final ObjectStore store;
+  private final String writer;
+  private final long maxWaitingChars;
+  private final Map<String, Buffer> buffers = new HashMap<>();
+  private final LongAdder written = new LongAdder();
+  private final LongAdder skipped = new LongAdder();
+  private final LongAdder restored = new LongAdder();
+  private long waitingChars;
+  private long number;
+  private int writesUnderWay;
+
+  /**
+   * Creates an empty journal.
+   *
+   * @param store the object store
+   * @param writer names this process and no other, past or future
+   * @param maxWaitingChars the most characters of samples that wait to be written
+   */
+  public SampleJournal(ObjectStore store, String writer, long maxWaitingChars) {
+    this.store = store;
+    this.writer = writer;
+    this.maxWaitingChars = maxWaitingChars;
+  }
+
+  /** Returns the number of samples that were written. */
+  public long writtenCount() {
+    return written.sum();
+  }
+
+  /** Returns the number of samples that were not written, since too many waited. */
+  public long skippedCount() {
+    return skipped.sum();
+  }
+
+  /** Returns the number of samples that were read for steps of earlier owners. */
+  public long restoredCount() {
+    return restored.sum();
+  }
+
+  private static String prefix(StepSpec step) {
+    return "samples/%s/%d/%s/".formatted(step.id().track(), step.id().step(), step.workDigest());
+  }
+
+  @Override
+  public synchronized void onFinished(StepSpec step, Sample sample) {
+    long chars = sample.text().length();
+    if (waitingChars + chars > maxWaitingChars) {
+      skipped.increment();
+      return;
+    }
+    Buffer buffer = buffers.computeIfAbsent(step.workDigest(), any -> new Buffer(prefix(step)));
+    buffer.samples.add(sample);
+    buffer.chars += chars;
+    waitingChars += chars;
+  }
+
+  /** Begins to write what waits. Called about once a second, from any thread. */
+  public void flush() {
+    for (Runnable write : takeWrites()) {
+      write.run();
+    }
+  }
+
+  private synchronized List<Runnable> takeWrites() {
+    List<Runnable> writes = new ArrayList<>();
+    Iterator<Buffer> each = buffers.values().iterator();
+    while (each.hasNext()) {
+      Buffer buffer = each.next();
+      if (buffer.samples.isEmpty() && !buffer.writing) {
+        each.remove();
+      } else if (!buffer.writing && writesUnderWay < MAX_CALLS_UNDER_WAY) {
+        writes.add(takeWrite(buffer));
+      }
+    }
+    return writes;
+  }
+
+  private Runnable takeWrite(Buffer buffer) {
+    List<Sample> batch = List.copyOf(buffer.samples);
+    long chars = buffer.chars;
+    buffer.samples.clear();
+    buffer.chars = 0;
+    buffer.writing = true;
+    writesUnderWay++;
+    String key = buffer.prefix + writer + "/" + ++number;
+    return () ->
+        store
+            .put(key, SampleJournalCodec.write(batch))
+            .whenComplete((done, failure) -> onWritten(buffer, batch, chars, failure));
+  }
+
+  private synchronized void onWritten(
+      Buffer buffer, List<Sample> batch, long chars, Throwable failure) {
+    writesUnderWay--;
+    buffer.writing = false;
+    if (failure == null || buffer.closed) {
+      waitingChars -= chars;
+      written.add(failure == null ? batch.size() : 0);
+      return;
+    }
+    buffer.samples.addAll(0, batch);
+    buffer.chars += chars;
+    LOG.log(
+        System.Logger.Level.WARNING,
+        LogEvent.of("samples-not-written")
+            .with("samples", batch.size())
+            .with("message", Failures.unwrap(failure).getMessage()));
+  }
+
+  @Override
+  public void onClosed(StepSpec step) {
+    dropBuffer(step);
+    forEachKey(step, store::delete)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                LOG.log(
+                    System.Logger.Level.WARNING,
+                    LogEvent.of("samples-not-deleted")
+                        .with("track", step.id().track())
+                        .with("step", step.id().step()));
+              }
+            });
+  }
+
+  private synchronized void dropBuffer(StepSpec step) {
+    Buffer buffer = buffers.remove(step.workDigest());
+    if (buffer != null) {
+      buffer.closed = true;
+      waitingChars -= buffer.chars;
+      buffer.samples.clear();
+      buffer.chars = 0;
+    }
+  }
+
+  /**
+   * Reads the samples of a step that its earlier owners wrote.
+   *
+   * @param step the step
+   * @return the samples, one a slot; fails with a {@link
+   *     org.sycamoretrack.core.process.SycamoreException} when the object store doesn't answer
+   */
+  public CompletionStage<List<Sample>> restore(StepSpec step) {
+    Map<Integer, Sample> bySlot = new TreeMap<>();
+    return forEachKey(
+            step, key -> store.get(key).thenAccept(bytes -> addAll(step, key, bytes, bySlot)))
+        .thenApply(
+            done -> {
+              synchronized (bySlot) {
+                restored.add(bySlot.size());
+                return List.copyOf(bySlot.values());
+              }
+            });
+  }
+
+  private static void addAll(
+      StepSpec step, String key, Optional<byte[]> bytes, Map<Integer, Sample> bySlot) {
+    List<Sample> samples;
+    try {
+      samples = bytes.isEmpty() ? List.of() : SampleJournalCodec.read(bytes.get());
+    } catch (IllegalArgumentException e) {
+      LOG.log(System.Logger.Level.WARNING, LogEvent.of("samples-malformed").with("key", key));
+      return;
+    }
+    synchronized (bySlot) {
+      for (Sample sample : samples) {
+        if (sample.slot() >= 0 && sample.slot() < step.slots()) {
+          bySlot.putIfAbsent(sample.slot(), sample);
+        }
+      }
+    }
+  }
+
+  private CompletionStage<Void> forEachKey(
+      StepSpec step, Function<String, CompletionStage<Void>> action) {
+    return store
+        .list(prefix(step))
+        .thenCompose(
+            keys -> {
+              List<CompletableFuture<Void>> chains = new ArrayList<>();
+              for (int i = 0; i < Math.min(MAX_CALLS_UNDER_WAY, keys.size()); i++) {
+                chains.add(chain(keys, i, action));
+              }
+              return CompletableFuture.allOf(chains.toArray(CompletableFuture[]::new));
+            });
+  }
+
+  /** Acts on the keys at every {@link #MAX_CALLS_UNDER_WAY}th position, one after the other. */
+  private static CompletableFuture<Void> chain(
+      List<String> keys, int first, Function<String, CompletionStage<Void>> action) {
+    CompletionStage<Void> stage = CompletableFuture.completedFuture(null);
+    for (int i = first; i < keys.size(); i += MAX_CALLS_UNDER_WAY) {
+      String key = keys.get(i);
+      stage = stage.thenCompose(done -> action.apply(key));
+    }
+    return stage.toCompletableFuture();
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleSink.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleSink.java
@@ -1,7 +1,7 @@
 package org.sycamoretrack.daemon.request;
 
 import org.sycamoretrack.core.request.Sample;
-import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
 
 /** Takes note of finished samples, so that another node need not make them again. */
 @FunctionalInterface
@@ -15,5 +15,12 @@
    * @param step the step
    * @param sample the sample
    */
-  void onFinished(StepId step, Sample sample);
+  void onFinished(StepSpec step, Sample sample);
+
+  /**
+   * Called when the trainer has closed a step: nobody will ask for its samples again.
+   *
+   * @param step the step
+   */
+  default void onClosed(StepSpec step) {}
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRegistry.java
@@ -36,7 +36,7 @@
   private final StepServices services;
   private final EventLoopGroup loops;
   private final int maxOpenSteps;
-  private final Function<StepId, CompletionStage<List<Sample>>> restore;
+  private final Function<StepSpec, CompletionStage<List<Sample>>> restore;
   private final Map<StepId, StepRunner> steps = new ConcurrentHashMap<>();
 
   /**
@@ -51,7 +51,7 @@
       StepServices services,
       EventLoopGroup loops,
       int maxOpenSteps,
-      Function<StepId, CompletionStage<List<Sample>>> restore) {
+      Function<StepSpec, CompletionStage<List<Sample>>> restore) {
     this.services = services;
     this.loops = loops;
     this.maxOpenSteps = maxOpenSteps;
@@ -99,7 +99,7 @@
             .with("slots", runner.spec().slots()));
     CompletableFuture<List<Sample>> finished =
         restore
-            .apply(id)
+            .apply(runner.spec())
             .toCompletableFuture()
             .orTimeout(RESTORE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     finished.whenComplete(
@@ -116,6 +116,12 @@
     return Optional.ofNullable(steps.get(id));
   }
 
+  /** Closes a step for good, as its trainer asks; nothing happens when it is not open. */
+  void closeForGood(StepId id) {
+    find(id).ifPresent(runner -> services.sink().onClosed(runner.spec()));
+    close(id);
+  }
+
   /** Closes a step; nothing happens when it is not open. */
   void close(StepId id) {
     StepRunner runner = steps.remove(id);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -292,7 +292,7 @@
     if (state.finish(sample)) {
       countMemory();
       services.metrics().onSampleFinished();
-      services.sink().onFinished(spec.id(), sample);
+      services.sink().onFinished(spec, sample);
       answerWaitingPollSoon();
     }
     dispatch();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/TrainerApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/TrainerApi.java
@@ -128,7 +128,7 @@
   }
 
   private void close(HttpExchange exchange, StepId id) {
-    steps.close(id);
+    steps.closeForGood(id);
     exchange.respond(
         HttpAnswer.json(200, Json.object().put("track", id.track()).put("step", id.step())));
   }
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/LeaseServiceTest.java
@@ -0,0 +1,166 @@
+package org.sycamoretrack.daemon.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.daemon.platform.FakeTableStore;
+import org.sycamoretrack.daemon.platform.FakeTableStore.Fate;
+
+/** Tests of {@link LeaseService}: two processes and a table service with faults. */
+class LeaseServiceTest {
+  private static final LeaseTimes TIMES = new LeaseTimes(100, 20, 30, 5);
+
+  private final FakeTableStore tables = new FakeTableStore();
+  private long nowMs;
+  private final NodeProcess first = new NodeProcess("a", "a/1");
+
+  /** A process whose control thread runs when the test says so. */
+  private final class NodeProcess {
+    final FakeTableStore table = new FakeTableStore(tables);
+    final Queue<Runnable> control = new ArrayDeque<>();
+    final LeaseService service;
+
+    NodeProcess(String nodeId, String incarnation) {
+      service =
+          new LeaseService(
+              table,
+              new LeaseService.Holder(nodeId, incarnation, "127.0.0.1:1", "svea-a"),
+              TIMES,
+              () -> TimeUnit.MILLISECONDS.toNanos(nowMs),
+              control::add);
+    }
+
+    void poll() {
+      service.poll();
+      drain();
+    }
+
+    void drain() {
+      Runnable command;
+      while ((command = control.poll()) != null) {
+        command.run();
+      }
+    }
+
+    void run(Fate fate) {
+      table.run(table.calls().getFirst(), fate);
+      drain();
+    }
+
+    void pollWhole() {
+      service.poll();
+      for (int i = 0; i < 3; i++) {
+        table.runAll();
+        poll();
+      }
+    }
+
+    boolean endExpired(String nodeId) {
+      CompletionStage<Boolean> ended = service.endExpired(nodeId);
+      while (!ended.toCompletableFuture().isDone()) {
+        table.runAll();
+        drain();
+      }
+      return ended.toCompletableFuture().join();
+    }
+  }
+
+  @Test
+  void holdsAndRenews() {
+    first.pollWhole();
+    assertThat(first.service.epoch()).isEqualTo(1);
+    for (; nowMs < 1_000; nowMs += 10) {
+      first.pollWhole();
+      assertThat(first.service.holds()).isTrue();
+    }
+    assertThat(tables.rows(LeaseService.TABLE, "")).hasSize(1);
+    assertThat(tables.rows(LeaseService.TABLE, "").getFirst().version()).isLessThan(40);
+  }
+
+  @Test
+  void pausedHolderSeesByTheClockThatItHoldsNoMore() {
+    first.pollWhole();
+    nowMs = 79;
+    assertThat(first.service.holds()).isTrue();
+    nowMs = 80;
+    assertThat(first.service.holds()).isFalse();
+    assertThat(first.service.epoch()).isZero();
+  }
+
+  @ParameterizedTest
+  @EnumSource(Fate.class)
+  void renewalWithAnyFateIsSettled(Fate fate) {
+    first.pollWhole();
+    nowMs = 40;
+    first.poll();
+    first.run(fate);
+    nowMs = 50;
+    first.pollWhole();
+    nowMs = 60;
+    first.pollWhole();
+    first.table.runLate();
+    nowMs = 100;
+    first.pollWhole();
+    nowMs = 115;
+    assertThat(first.service.holds()).isTrue();
+    assertThat(first.service.epoch()).isEqualTo(1);
+  }
+
+  @Test
+  void givenBackLeaseIsTakenAtOnceWithAHigherEpoch() {
+    first.pollWhole();
+    CompletionStage<Void> released = first.service.release();
+    assertThat(first.service.holds()).isFalse();
+    first.pollWhole();
+    assertThat(released.toCompletableFuture()).isCompleted();
+    NodeProcess next = new NodeProcess("a", "a/2");
+    next.pollWhole();
+    assertThat(next.service.epoch()).isEqualTo(2);
+  }
+
+  @Test
+  void nextProcessOfTheSameNodeWaitsTheOldLeaseOut() {
+    first.pollWhole();
+    NodeProcess next = new NodeProcess("a", "a/2");
+    while (!next.service.holds()) {
+      nowMs += 5;
+      next.pollWhole();
+      assertThat(first.service.holds() && next.service.holds()).isFalse();
+    }
+    assertThat(nowMs).isBetween(TIMES.takeOverAfterMs(), 2 * TIMES.takeOverAfterMs());
+    first.pollWhole();
+    assertThat(first.service.holds()).as("woken").isFalse();
+    assertThat(next.service.holds()).isTrue();
+  }
+
+  @Test
+  void endedLeaseCanNotBeRenewedByALateWrite() {
+    first.pollWhole();
+    NodeProcess other = new NodeProcess("b", "b/1");
+    assertThat(other.endExpired("a")).isFalse();
+    nowMs = 119;
+    assertThat(other.endExpired("a")).isFalse();
+    first.poll();
+    nowMs = 240;
+    assertThat(other.endExpired("a")).isTrue();
+    first.run(Fate.DONE);
+    first.pollWhole();
+    assertThat(first.service.epoch()).as("taken anew").isEqualTo(2);
+  }
+
+  @Test
+  void renewedLeaseIsNotEnded() {
+    NodeProcess other = new NodeProcess("b", "b/1");
+    for (; nowMs < 1_000; nowMs += 10) {
+      first.pollWhole();
+      assertThat(other.endExpired("a")).isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimServiceTest.java
@@ -0,0 +1,169 @@
+package org.sycamoretrack.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.agrona.concurrent.SystemNanoClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.daemon.platform.HttpTableStore;
+import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.process.ControlAgent;
+import org.sycamoretrack.daemon.process.LeaseService;
+import org.sycamoretrack.standins.process.Fault;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.standins.process.PlatformStandin;
+import org.sycamoretrack.transport.connection.EventLoops;
+import org.sycamoretrack.transport.connection.HttpClient;
+
+/** Claims of two nodes with their own control threads, over HTTP to the platform's stand-in. */
+class ClaimServiceTest {
+  private static final int KEYS = 200;
+  private static final int POLL_MS = 20;
+
+  private final EventLoopGroup group = EventLoops.start("claims", 2);
+  private final PlatformStandin platform = PlatformStandin.builder().start();
+  private final HttpClient client = new HttpClient(group, 1_000);
+  private final AtomicReference<List<String>> alive = new AtomicReference<>(List.of("a", "b"));
+  private Node first;
+  private Node second;
+
+  /** A node's control thread with its lease and claims. */
+  private final class Node implements AutoCloseable {
+    final ControlAgent control = new ControlAgent(1_024, SystemNanoClock.INSTANCE, new Random(1));
+    final LeaseService lease;
+    final ClaimService claims;
+
+    Node(String nodeId) {
+      TableStore table = new HttpTableStore(client, platform.address(), 1_000);
+      String incarnation = nodeId + "/1";
+      lease =
+          new LeaseService(
+              table,
+              new LeaseService.Holder(nodeId, incarnation, "127.0.0.1:1", "svea-a"),
+              LeaseTimes.DEFAULT,
+              SystemNanoClock.INSTANCE,
+              control::execute);
+      claims =
+          ClaimService.builder()
+              .node(nodeId, incarnation)
+              .table(table)
+              .leaseHeld(lease::holds)
+              .aliveNodeIds(alive::get)
+              .control(control::execute)
+              .clocks(
+                  () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), System::currentTimeMillis)
+              .build();
+      control.start();
+      control.scheduleAtFixedRate("lease", POLL_MS, 0, lease::poll);
+      control.scheduleAtFixedRate("claims", POLL_MS, 0, claims::poll);
+    }
+
+    CompletableFuture<ClaimDecision> claim(String key) {
+      return claims.claim(key, "f").toCompletableFuture();
+    }
+
+    @Override
+    public void close() {
+      control.close();
+    }
+  }
+
+  @BeforeEach
+  void start() {
+    first = new Node("a");
+    second = new Node("b");
+  }
+
+  @AfterEach
+  void stop() {
+    first.close();
+    second.close();
+    platform.close();
+    EventLoops.stop(group);
+  }
+
+  private static ClaimDecision get(CompletableFuture<ClaimDecision> claim) {
+    return claim.orTimeout(20, TimeUnit.SECONDS).join();
+  }
+
+  private Node ownerOf(String key) {
+    String owner = first.claims.ownerOf(key).orElseThrow();
+    return owner.equals("a") ? first : second;
+  }
+
+  private static RecordedAnswer answer(String key) {
+    return RecordedAnswer.of(200, Map.of(), key.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private List<CompletableFuture<ClaimDecision>> claimAll() {
+    List<CompletableFuture<ClaimDecision>> claims = new ArrayList<>();
+    for (int i = 0; i < KEYS; i++) {
+      claims.add(ownerOf("k" + i).claim("k" + i));
+    }
+    return claims;
+  }
+
+  /** Waits until the nodes have shared out the ranges, which are then taken. */
+  private void awaitOwners() {
+    for (Node node : List.of(first, second)) {
+      CompletableFuture<Void> polled = new CompletableFuture<>();
+      node.control.execute(
+          () -> {
+            node.claims.poll();
+            polled.complete(null);
+          });
+      polled.orTimeout(20, TimeUnit.SECONDS).join();
+    }
+  }
+
+  private void runAll() {
+    awaitOwners();
+    assertThat(claimAll()).allSatisfy(claim -> assertThat(get(claim)).isEqualTo(RUN));
+    List<CompletableFuture<Void>> recorded = new ArrayList<>();
+    for (int i = 0; i < KEYS; i++) {
+      String key = "k" + i;
+      recorded.add(ownerOf(key).claims.settle(key, answer(key)).toCompletableFuture());
+    }
+    recorded.forEach(each -> each.orTimeout(20, TimeUnit.SECONDS).join());
+  }
+
+  private static final ClaimDecision RUN = new ClaimDecision.Run();
+
+  @Test
+  void nodesShareTheKeysAndHandThemOver() {
+    runAll();
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    first.control.execute(() -> first.claims.stop().thenRun(() -> stopped.complete(null)));
+    alive.set(List.of("b"));
+    stopped.orTimeout(20, TimeUnit.SECONDS).join();
+    for (int i = 0; i < KEYS; i++) {
+      assertThat(get(second.claim("k" + i))).isEqualTo(new ClaimDecision.Answered(answer("k" + i)));
+    }
+  }
+
+  @Test
+  void lostAnswersOfTheTableRunNoKeyTwiceAndRefuseNone() {
+    awaitOwners();
+    platform
+        .faults()
+        .add(Fault.builder(FaultKind.LOST_ANSWER).path("/transactions").share(0.3).build());
+    runAll();
+    platform.faults().clear();
+    for (int i = 0; i < KEYS; i++) {
+      assertThat(get(ownerOf("k" + i).claim("k" + i)))
+          .isEqualTo(new ClaimDecision.Answered(answer("k" + i)));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/SampleJournalTest.java
@@ -0,0 +1,201 @@
+package org.sycamoretrack.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.GroupSpec;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.Sample;
+import org.sycamoretrack.core.request.StepId;
+import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.request.VersionSpan;
+import org.sycamoretrack.daemon.platform.ObjectStore;
+
+/** Tests of {@link SampleJournal} over an object store in memory that can be out. */
+class SampleJournalTest {
+  private static final StepSpec STEP = step("prompt", 4711);
+
+  private final Store store = new Store();
+  private final SampleJournal journal = new SampleJournal(store, "a/1", 100);
+
+  /** An object store in memory. */
+  private static final class Store implements ObjectStore {
+    final TreeMap<String, byte[]> objects = new TreeMap<>();
+    boolean out;
+
+    private <T> CompletionStage<T> answer(T value) {
+      return out
+          ? CompletableFuture.failedFuture(
+              new SycamoreException(ErrorCode.PLATFORM_UNAVAILABLE, Outcome.NOT_RUN, "out"))
+          : CompletableFuture.completedFuture(value);
+    }
+
+    @Override
+    public CompletionStage<Void> put(String key, byte[] bytes) {
+      if (!out) {
+        objects.put(key, bytes);
+      }
+      return answer(null);
+    }
+
+    @Override
+    public CompletionStage<Boolean> putIfAbsent(String key, byte[] bytes) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Optional<byte[]>> get(String key) {
+      return answer(Optional.ofNullable(objects.get(key)));
+    }
+
+    @Override
+    public CompletionStage<Void> delete(String key) {
+      objects.remove(key);
+      return answer(null);
+    }
+
+    @Override
+    public CompletionStage<List<String>> list(String prefix) {
+      return answer(objects.keySet().stream().filter(key -> key.startsWith(prefix)).toList());
+    }
+  }
+
+  private static StepSpec step(String prompt, long seed) {
+    return new StepSpec(
+        new StepId("cut-patterns", 12), 7, 64, List.of(new GroupSpec(prompt, 40, seed)));
+  }
+
+  private static Sample sample(int slot, String text, Double score) {
+    return new Sample(
+        slot,
+        text,
+        3,
+        "stop",
+        2,
+        score,
+        List.of(new VersionSpan(6, 0, 1), new VersionSpan(7, 1, 3)));
+  }
+
+  private List<Sample> restored(StepSpec step) {
+    return new SampleJournal(store, "b/1", 100).restore(step).toCompletableFuture().join();
+  }
+
+  @Test
+  void nextOwnerReadsWhatWasWritten() {
+    Sample first = sample(3, "cut ä", 0.25);
+    Sample second = sample(0, "cut b", null);
+    journal.onFinished(STEP, first);
+    journal.flush();
+    journal.onFinished(STEP, second);
+    journal.flush();
+    assertThat(restored(STEP)).containsExactly(second, first);
+    assertThat(journal.writtenCount()).isEqualTo(2);
+    assertThat(store.objects).hasSize(2);
+  }
+
+  @Test
+  void samplesOfOneSecondGoTogetherAndAnIdleStepWritesNothing() {
+    for (int slot = 0; slot < 40; slot++) {
+      journal.onFinished(STEP, sample(slot, "t", null));
+    }
+    journal.flush();
+    journal.flush();
+    assertThat(store.objects).hasSize(1);
+    assertThat(restored(STEP)).hasSize(40);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"other prompt, 4711", "prompt, 4712"})
+  void stepWithOtherWorkGetsNoneOfTheSamples(String prompt, long seed) {
+    journal.onFinished(STEP, sample(1, "a", null));
+    journal.flush();
+    assertThat(restored(step(prompt, seed))).isEmpty();
+    assertThat(restored(step("prompt", 4711))).hasSize(1);
+  }
+
+  @Test
+  void writtenAgainAfterAnOutage() {
+    store.out = true;
+    journal.onFinished(STEP, sample(1, "a", null));
+    journal.flush();
+    journal.onFinished(STEP, sample(2, "b", null));
+    journal.flush();
+    store.out = false;
+    journal.flush();
+    assertThat(restored(STEP)).extracting(Sample::slot).containsExactly(1, 2);
+    assertThat(journal.skippedCount()).isZero();
+  }
+
+  @Test
+  void longOutageIsSkippedAndCounted() {
+    store.out = true;
+    for (int slot = 0; slot < 40; slot++) {
+      journal.onFinished(STEP, sample(slot, "0123456789", null));
+      journal.flush();
+    }
+    assertThat(journal.skippedCount()).isEqualTo(30);
+    store.out = false;
+    journal.flush();
+    assertThat(restored(STEP)).hasSize(10);
+    journal.onFinished(STEP, sample(39, "0123456789", null));
+    journal.flush();
+    assertThat(restored(STEP)).as("room again").hasSize(11);
+  }
+
+  @Test
+  void slotWrittenTwiceIsGivenOnce() {
+    journal.onFinished(STEP, sample(1, "a", null));
+    journal.flush();
+    SampleJournal next = new SampleJournal(store, "b/1", 100);
+    next.onFinished(STEP, sample(1, "again", null));
+    next.flush();
+    assertThat(restored(STEP)).extracting(Sample::text).containsExactly("a");
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          not JSON
+          {"samples": {}}
+          {"samples": [{"slot": 1, "text": "x"}]}
+          {"samples": [{"slot": 1, "text": "x", "tokens": 2, "finishReason": "stop", "attempt": 1, \
+          "spans": [{"version": 7, "fromToken": 0, "toToken": 1}]}]}
+          {"samples": [{"slot": 40, "text": "x", "tokens": 1, "finishReason": "stop", \
+          "attempt": 1, "spans": [{"version": 7, "fromToken": 0, "toToken": 1}]}]}
+          """)
+  void objectsThatDoNotFitAreLeftOut(String content) {
+    journal.onFinished(STEP, sample(1, "a", null));
+    journal.flush();
+    String key = store.objects.firstKey() + "x";
+    store.objects.put(key, content.getBytes(StandardCharsets.UTF_8));
+    assertThat(restored(STEP)).containsExactly(sample(1, "a", null));
+  }
+
+  @Test
+  void closedStepIsDeleted() {
+    journal.onFinished(STEP, sample(1, "a", null));
+    journal.flush();
+    journal.onFinished(STEP, sample(2, "b", null));
+    journal.onClosed(STEP);
+    journal.flush();
+    assertThat(store.objects).isEmpty();
+  }
+
+  @Test
+  void outageAtRestoringIsAFailure() {
+    store.out = true;
+    assertThat(journal.restore(STEP)).isCompletedExceptionally();
+  }
+}
