--- a/core/src/main/java/org/sycamoretrack/core/version/OrderBudget.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/OrderBudget.java
@@ -1,8 +1,8 @@
 package org.sycamoretrack.core.version;
 
 /**
- * A token bucket for orders: at most {@code ordersPerSecond} in the long run, and no more than one
- * and a fifth of a second's worth after a pause.
+ * A token bucket for orders: at most {@code ordersPerSecond} in the long run, and after a pause no
+ * more than one order and what accrues in a fifth of a second.
  */
 final class OrderBudget {
   private static final double BURST_SECONDS = 0.2;
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutOverHttpTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutOverHttpTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.agrona.concurrent.SystemNanoClock;
 import org.junit.jupiter.api.AfterEach;
@@ -132,7 +133,7 @@
 
   private static void await(BooleanSupplier condition) {
     while (!condition.getAsBoolean()) {
-      java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+      LockSupport.parkNanos(1_000_000);
     }
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/process/EngineStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/EngineStandin.java
@@ -1,5 +1,6 @@
 package org.sycamoretrack.standins.process;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -173,7 +174,7 @@
     return after == null ? 0 : Long.parseLong(after);
   }
 
-  private static HttpAnswer events(String name, com.fasterxml.jackson.databind.JsonNode events) {
+  private static HttpAnswer events(String name, JsonNode events) {
     return HttpAnswer.json(200, Json.object().set(name, events));
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/process/FaultKind.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/FaultKind.java
@@ -14,7 +14,10 @@
   LOST_ANSWER,
   /** A read is answered with the oldest answer known for the same target. */
   STALE,
-  /** The request takes effect at once and its answer comes {@code delayMs} late, behind others. */
+  /**
+   * The request takes effect at once and its answer comes {@code delayMs} late, behind others.
+   * Streams are not affected.
+   */
   REORDERED,
   /** The answer breaks off without its HTTP end marker, in a stream after some chunks. */
   CUT_OFF,
--- a/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,7 @@
    * @param value what {@link Json#mapper} can write
    */
   public static void printLine(Object value) {
-    System.out.println(new String(Json.bytes(value), java.nio.charset.StandardCharsets.UTF_8));
+    System.out.println(new String(Json.bytes(value), StandardCharsets.UTF_8));
   }
 
   /** Waits until the process is told to stop. */
--- a/standins/src/main/java/org/sycamoretrack/standins/version/WeightStoreStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/version/WeightStoreStandin.java
@@ -1,5 +1,6 @@
 package org.sycamoretrack.standins.version;
 
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.TreeMap;
@@ -62,7 +63,7 @@
   }
 
   private NavigableSet<Integer> versions(String model) {
-    return versionsByModel.computeIfAbsent(model, any -> new TreeSet<>(java.util.List.of(1)));
+    return versionsByModel.computeIfAbsent(model, any -> new TreeSet<>(List.of(1)));
   }
 
   /**
--- a/standins/src/test/java/org/sycamoretrack/standins/process/StandinClient.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/process/StandinClient.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpClient;
@@ -62,7 +63,7 @@
   /** Asks again and again until a condition holds; the test's own timeout ends the wait. */
   static void await(BooleanSupplier condition) {
     while (!condition.getAsBoolean()) {
-      java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+      LockSupport.parkNanos(1_000_000);
     }
   }
 
