--- a/core/src/main/java/org/sycamoretrack/core/version/RolloutEndpoint.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/RolloutEndpoint.java
@@ -8,7 +8,8 @@
  * <p>Three sources tell the version, and they can disagree: the report ({@code GET /weights}), the
  * chunks of a probe, and the order that was given. The order proves nothing. The report is taken
  * for true only after a probe that was sent later has shown a token of that version; when the
- * report changes or the engine could not be reached, the proof is void.
+ * report changes or the engine could not be reached, the proof is void. A proof is repeated now and
+ * then, since an engine may fall back to an older version without reporting it.
  *
  * <p>Only a read that was sent after the order was answered, or its call had failed, is decisive. A
  * load ends in one of these ways:
@@ -57,6 +58,7 @@
   private long reportedLoading = WeightRollout.UNKNOWN_VERSION;
   private long shownVersion;
   private boolean proven;
+  private long provenMs;
   private boolean reachable;
   private Load load;
   private Load readLoad;
@@ -118,7 +120,8 @@
   /** Returns whether a probe for the version is due, and if so takes it as sent. */
   boolean beginProbe(long targetVersion, long nowMs) {
     boolean claims = load == null ? reportedVersion >= targetVersion : load.stage == Stage.REPORTED;
-    if (!claims || !reachable || proven || probeUnderWay || nowMs < nextProbeMs) {
+    boolean fresh = proven && nowMs - provenMs < times.proofIntervalMs();
+    if (!claims || !reachable || fresh || probeUnderWay || nowMs < nextProbeMs) {
       return false;
     }
     probeUnderWay = true;
@@ -190,6 +193,7 @@
     }
     shownVersion = version;
     proven = true;
+    provenMs = nowMs;
     if (load == null) {
       return;
     }
@@ -206,14 +210,6 @@
     nextProbeMs = nowMs + times.readIntervalMs();
   }
 
-  /** Voids the proof when traffic shows an older version than was proven. */
-  void onChunk(long version) {
-    if (proven && version < shownVersion) {
-      voidProof();
-      nextReadMs = Long.MIN_VALUE;
-    }
-  }
-
   /** Fails a load that has taken too long. */
   void checkTimeout(long nowMs) {
     if (load != null && nowMs - load.sinceMs >= times.loadTimeoutMs()) {
--- a/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/WeightRollout.java
@@ -289,21 +289,6 @@
     }
   }
 
-  /**
-   * Takes the version of a chunk of ordinary traffic. An older version than was proven, as after an
-   * unseen restart, voids the proof; it does not count as a proof itself, since the chunk may have
-   * been made before the engine's last swap.
-   *
-   * @param endpoint the endpoint's name
-   * @param version the version in the chunk
-   */
-  public void onChunk(String endpoint, long version) {
-    RolloutEndpoint state = endpoints.get(endpoint);
-    if (state != null) {
-      state.onChunk(version);
-    }
-  }
-
   /** Returns whether a load is under way. */
   public boolean isLoading() {
     return !noneLoads();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
@@ -195,11 +195,6 @@
             .with("epoch", order.epoch()));
   }
 
-  /** Takes the version of a chunk of ordinary traffic. */
-  void onChunk(String endpoint, long version) {
-    rollout.onChunk(endpoint, version);
-  }
-
   /** Returns what is known of the engines that were read. */
   Map<String, RolloutStatus> statuses() {
     return rollout.statuses().stream()
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
@@ -208,27 +208,6 @@
     view = new RolloutView(targets, endpoints, groups);
   }
 
-  /**
-   * Takes the version of a chunk of ordinary traffic. May be called from any thread; does nothing
-   * unless it is older than what was proven.
-   *
-   * @param endpoint the endpoint's name
-   * @param version the version in the chunk
-   */
-  public void onChunk(String endpoint, long version) {
-    RolloutStatus status = view.endpoints().get(endpoint);
-    if (status == null || !status.proven() || version >= status.servedVersion()) {
-      return;
-    }
-    // A refused command is made up for by the next chunk.
-    boolean accepted =
-        inbox.execute(() -> rollouts.values().forEach(each -> each.onChunk(endpoint, version)));
-    if (!accepted) {
-      System.getLogger(WeightRolloutService.class.getName())
-          .log(System.Logger.Level.DEBUG, "chunk-version-dropped");
-    }
-  }
-
   private long nowMs() {
     return TimeUnit.NANOSECONDS.toMillis(clock.nanoTime());
   }
