Add the measure of a node's overhead

Cause: what a node adds to a call, and what it carries for each core, had no measure. The engines answer at once and run as processes of their own; direct calls and calls through the node alternate in the same run; the node's processor time is read from its metrics.

--- /dev/null
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/StreamLoad.java
@@ -0,0 +1,164 @@
+package org.sycamoretrack.bench.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpFailure;
+import org.sycamoretrack.transport.request.HttpRequest;
+import org.sycamoretrack.transport.request.HttpResponseListener;
+
+/**
+ * Sends streamed completions to one address and times them.
+ *
+ * <p>Two ways: at a pace, whatever the answers do, which shows latency; or with a fixed number in
+ * flight, each followed by the next, which shows what is carried.
+ */
+public final class StreamLoad {
+  private static final int DIGITS = 3;
+  private static final int TIMEOUT_MS = 20_000;
+
+  private final HttpClient client;
+  private final EventLoopGroup loops;
+  private final InetSocketAddress address;
+  private final byte[] body;
+  private final Histogram latencyUs = new ConcurrentHistogram(DIGITS);
+  private final AtomicLong failures = new AtomicLong();
+
+  /**
+   * Creates a load.
+   *
+   * @param loops carry the calls
+   * @param address an engine or a node's caller port
+   * @param model the model or pool
+   * @param maxTokens tokens of each answer
+   */
+  public StreamLoad(EventLoopGroup loops, InetSocketAddress address, String model, int maxTokens) {
+    this.loops = loops;
+    this.client = new HttpClient(loops, TIMEOUT_MS);
+    this.address = address;
+    this.body =
+        Json.bytes(
+            Json.object()
+                .put("model", model)
+                .put("prompt", "overhead")
+                .put("max_tokens", maxTokens)
+                .put("seed", 1)
+                .put("stream", true));
+  }
+
+  /** Returns the times of whole answers, in microseconds. */
+  public Histogram latencyUs() {
+    return latencyUs;
+  }
+
+  /** Returns the number of requests that got no whole answer. */
+  public long failures() {
+    return failures.get();
+  }
+
+  /** Forgets what was measured so far. */
+  public void reset() {
+    latencyUs.reset();
+    failures.set(0);
+  }
+
+  /** Sends one request and tells when it has ended. */
+  public void send(Runnable whenEnded) {
+    send(loops.next(), whenEnded);
+  }
+
+  private void send(EventLoop loop, Runnable whenEnded) {
+    HttpRequest request =
+        HttpRequest.builder("POST", address, "/v1/completions")
+            .body(body)
+            .timeoutMs(TIMEOUT_MS)
+            .build();
+    client.send(request, new Timing(whenEnded), loop);
+  }
+
+  /**
+   * Keeps requests in flight for a time.
+   *
+   * @param concurrency how many
+   * @param durationMs for how long new ones are sent
+   */
+  public void saturate(int concurrency, long durationMs) throws InterruptedException {
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMs);
+    CountDownLatch ended = new CountDownLatch(concurrency);
+    for (int i = 0; i < concurrency; i++) {
+      new Chain(loops.next(), endNanos, ended).next();
+    }
+    ended.await(durationMs + 2L * TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Requests that follow each other. */
+  private final class Chain {
+    private final EventLoop loop;
+    private final long endNanos;
+    private final CountDownLatch ended;
+
+    private Chain(EventLoop loop, long endNanos, CountDownLatch ended) {
+      this.loop = loop;
+      this.endNanos = endNanos;
+      this.ended = ended;
+    }
+
+    private void next() {
+      if (System.nanoTime() - endNanos < 0) {
+        loop.execute(() -> send(loop, this::next));
+      } else {
+        ended.countDown();
+      }
+    }
+  }
+
+  /** Times one answer and checks that its end marker came. */
+  private final class Timing implements HttpResponseListener {
+    private static final int MARKER_BYTES = 14;
+
+    private final Runnable whenEnded;
+    private final long startNanos = System.nanoTime();
+    private int status;
+    private boolean marked;
+
+    private Timing(Runnable whenEnded) {
+      this.whenEnded = whenEnded;
+    }
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {
+      this.status = status;
+    }
+
+    @Override
+    public void onBody(ByteBuf part) {
+      int end = part.writerIndex();
+      marked = part.readableBytes() >= MARKER_BYTES && part.getByte(end - MARKER_BYTES + 6) == '[';
+    }
+
+    @Override
+    public void onEnd() {
+      if (status == 200 && marked) {
+        latencyUs.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos));
+      } else {
+        failures.incrementAndGet();
+      }
+      whenEnded.run();
+    }
+
+    @Override
+    public void onFailure(HttpFailure failure) {
+      failures.incrementAndGet();
+      whenEnded.run();
+    }
+  }
+}
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -12,10 +12,14 @@
 /** Runs measures by name; {@code all} runs each of them. */
 public final class Bench {
   private static final List<Measure> MEASURES =
-      List.of(new AdmissionMeasure(), new SelectionMeasure(), new StragglerMeasure());
+      List.of(
+          new AdmissionMeasure(),
+          new SelectionMeasure(),
+          new StragglerMeasure(),
+          new OverheadMeasure());
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(description = "NAME... (admission, selection, stragglers or all)")
+  @Parameter(description = "NAME... (admission, selection, stragglers, overhead or all)")
   private List<String> names = new ArrayList<>();
 
   @Parameter(names = "--seed", description = "seed of all chance")
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlAgent.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlAgent.java
@@ -127,6 +127,12 @@
     }
   }
 
+  /** Returns the id of the control thread, 0 before it has started. */
+  public long threadId() {
+    Thread started = thread;
+    return started == null ? 0 : started.threadId();
+  }
+
   /** Returns whether the calling thread is the control thread. */
   public boolean isControlThread() {
     return Thread.currentThread() == thread;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
@@ -184,6 +184,11 @@
     metrics.gauge(
         "members_alive", "Members that take work", () -> membership.view().alive().size());
     metrics.gauge("steps_open", "Steps that this node owns", requests::stepCount);
+    metrics.gauge("process_cpu_seconds", "Processor time of the process", CpuTimes::processSeconds);
+    metrics.gauge(
+        "control_cpu_seconds",
+        "Processor time of the control thread",
+        () -> CpuTimes.threadSeconds(control.threadId()));
     metrics.gauge("control_queue_length", "Commands that wait", control::queueLength);
   }
 
