--- a/cli/src/main/java/org/sycamoretrack/cli/request/Waiter.java
+++ b/cli/src/main/java/org/sycamoretrack/cli/request/Waiter.java
@@ -11,6 +11,9 @@
 final class Waiter {
   private static final long POLL_MS = 250;
 
+  /** The state dump of a node may be a second old, and so miss work that has just begun. */
+  private static final long IDLE_MS = 2_000;
+
   private final OperatorCalls calls;
   private final Output out;
   private final long deadlineNanos;
@@ -50,17 +53,20 @@
     }
   }
 
-  /** Waits until endpoints have no work in flight on any node that answers. */
+  /** Waits until endpoints have had no work in flight for a while on any node that answers. */
   ExitCode awaitIdle(Set<String> endpoints) {
     String shown = "";
+    long busyNanos = System.nanoTime();
     while (true) {
       Set<String> busy = busy(endpoints);
-      if (busy.isEmpty()) {
+      if (!busy.isEmpty()) {
+        busyNanos = System.nanoTime();
+      } else if (System.nanoTime() - busyNanos >= TimeUnit.MILLISECONDS.toNanos(IDLE_MS)) {
         out.line("drained " + endpoints);
         return ExitCode.OK;
       }
       String progress = "work in flight on " + busy;
-      if (!progress.equals(shown)) {
+      if (!busy.isEmpty() && !progress.equals(shown)) {
         out.line(progress);
         shown = progress;
       }
