--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
@@ -20,12 +20,14 @@
 import org.sycamoretrack.daemon.platform.HostList;
 import org.sycamoretrack.daemon.platform.HttpEngineClient;
 import org.sycamoretrack.daemon.platform.HttpHostList;
+import org.sycamoretrack.daemon.platform.HttpObjectStore;
 import org.sycamoretrack.daemon.platform.HttpTableStore;
 import org.sycamoretrack.daemon.platform.HttpWeightStore;
 import org.sycamoretrack.daemon.platform.TableStore;
 import org.sycamoretrack.daemon.request.ClaimService;
 import org.sycamoretrack.daemon.request.RequestPath;
 import org.sycamoretrack.daemon.request.Route;
+import org.sycamoretrack.daemon.request.SampleJournal;
 import org.sycamoretrack.daemon.version.ConfigurationService;
 import org.sycamoretrack.daemon.version.NodeLease;
 import org.sycamoretrack.daemon.version.RolloutGroup;
@@ -50,6 +52,8 @@
   private static final int HOSTS_PERIOD_MS = 2_000;
   private static final int STEPS_PERIOD_MS = 5_000;
   private static final int DUMP_PERIOD_MS = 1_000;
+  private static final int JOURNAL_PERIOD_MS = 1_000;
+  private static final long MAX_JOURNAL_CHARS = 16 << 20;
   private static final double JITTER_SHARE = 0.1;
   private static final int QUEUE_CAPACITY = 8_192;
 
@@ -62,6 +66,7 @@
   private final LeaseService lease;
   private final ClaimService claims;
   private final WeightRolloutService rollouts;
+  private final SampleJournal journal;
   private final RequestPath requests;
   private volatile JsonNode controlDump = Json.object();
   private volatile JsonNode requestsDump = Json.object();
@@ -79,6 +84,11 @@
         new ConfigurationService(control, link, membership::view, table, new Random());
     this.lease = lease(table, wiring.incarnation());
     this.claims = claims(table, wiring.incarnation());
+    this.journal =
+        new SampleJournal(
+            new HttpObjectStore(client, settings.platform().objects(), PLATFORM_TIMEOUT_MS),
+            wiring.incarnation(),
+            MAX_JOURNAL_CHARS);
     this.requests = requests(wiring, engines, metrics);
     this.rollouts = rollouts(table, client, engines);
     registerGauges(metrics);
@@ -153,6 +163,7 @@
             membership::view,
             endpoint -> rollouts().view().isOutOfService(endpoint))
         .claims(claims)
+        .samples(journal, journal::restore)
         .metrics(metrics)
         .build();
   }
@@ -184,6 +195,11 @@
     metrics.gauge(
         "members_alive", "Members that take work", () -> membership.view().alive().size());
     metrics.gauge("steps_open", "Steps that this node owns", requests::stepCount);
+    metrics.gauge("process_cpu_seconds", "Processor time of the process", CpuTimes::processSeconds);
+    metrics.gauge(
+        "control_cpu_seconds",
+        "Processor time of the control thread",
+        () -> CpuTimes.threadSeconds(control.threadId()));
     metrics.gauge("control_queue_length", "Commands that wait", control::queueLength);
   }
 
@@ -200,6 +216,7 @@
     every("rollouts", SERVICES_PERIOD_MS, rollouts::poll);
     every("engines", ENGINES_PERIOD_MS, requests::pollEngines);
     every("hosts", HOSTS_PERIOD_MS, this::readHosts);
+    every("journal", JOURNAL_PERIOD_MS, journal::flush);
     every("dump", DUMP_PERIOD_MS, this::renewDumps);
     every("steps", STEPS_PERIOD_MS, requests::closeAbandonedSteps);
   }
@@ -237,6 +254,11 @@
     membership.leave();
   }
 
+  /** Writes the finished samples that wait, so that the next owners of the steps find them. */
+  void flushJournal() {
+    journal.flush();
+  }
+
   /** Gives the claim ranges and the lease back; done when the platform knows. */
   CompletionStage<Void> handBack() {
     CompletableFuture<Void> done = new CompletableFuture<>();
@@ -273,6 +295,9 @@
         .put("leaseEpoch", lease.epoch())
         .put("claimRangesOwned", claims.ownedCount())
         .put("claimKeys", claims.keyCount())
+        .put("samplesJournaled", journal.writtenCount())
+        .put("samplesNotJournaled", journal.skippedCount())
+        .put("samplesRestored", journal.restoredCount())
         .put("controlQueueLength", control.queueLength())
         .put("controlQueueRefusals", control.refusalCount());
     var members = state.putArray("members");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
@@ -163,6 +163,7 @@
     stopping = true;
     controlState.leave();
     Waiting.until(LEAVE_SPREAD_MS, () -> false);
+    controlState.flushJournal();
     requests.stopAccepting();
     callerServer.drain();
     trainerServer.drain();
