Let reordered streams stop again

The change that let a "reordered" fault pass streams broke the engine client's contract test, case REORDERED: a stream that stops after two chunks must time out with the outcome RAN.

--- a/standins/src/main/java/org/sycamoretrack/standins/connection/FaultyExchange.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/connection/FaultyExchange.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.sycamoretrack.standins.process.Fault;
-import org.sycamoretrack.standins.process.FaultKind;
 import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpExchange;
 import org.sycamoretrack.transport.request.HttpStream;
@@ -113,8 +112,7 @@
   @Override
   public HttpStream startStream(int status, Map<String, String> headers) {
     HttpStream stream = exchange.startStream(status, headers);
-    boolean passes = fault == null || fault.kind() == FaultKind.REORDERED;
-    return passes ? stream : new FaultyStream(stream);
+    return fault == null ? stream : new FaultyStream(stream);
   }
 
   /** A stream that passes some chunks and is then spoilt. */
--- a/standins/src/main/java/org/sycamoretrack/standins/process/FaultKind.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/FaultKind.java
@@ -15,8 +15,8 @@
   /** A read is answered with the oldest answer known for the same target. */
   STALE,
   /**
-   * The request takes effect at once and its answer comes {@code delayMs} late, behind others.
-   * Streams are not affected.
+   * The request takes effect at once and its answer comes {@code delayMs} late, behind others. A
+   * stream stops after some chunks instead, since its chunks can't overtake each other.
    */
   REORDERED,
   /** The answer breaks off without its HTTP end marker, in a stream after some chunks. */
