Give up on listeners that never speak; tell view changes less often

A dialled address that accepts and says nothing (another port of a host, a black hole) was held for ever, since only connections past the handshake were watched.

After a configuration change the versions of all members change one after the other, and each published view told its listeners and dialled again. Views are now published at ticks and listeners are told of members only. An address that can't be dialled is refused where it is decoded.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/connection/InboundPeer.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/InboundPeer.java
@@ -6,11 +6,10 @@
  */
 final class InboundPeer extends PeerChannel {
   private static final int SILENT_INTERVALS = 3;
-  private static final long HANDSHAKE_TIMEOUT_MS = 3_000;
 
   private byte[] nonce;
   private volatile PeerIdentity peer;
-  private volatile long timeoutMs = HANDSHAKE_TIMEOUT_MS;
+  private volatile long timeoutMs = PeerLink.HANDSHAKE_TIMEOUT_MS;
 
   InboundPeer(PeerLink link) {
     super(link);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/connection/OutboundPeer.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/OutboundPeer.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
@@ -96,6 +97,17 @@
   @Override
   void onOpen() {
     nonce = link.proof().newNonce();
+    channel()
+        .eventLoop()
+        .schedule(this::checkHandshake, PeerLink.HANDSHAKE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Closes a connection to something that accepts but does not speak the protocol. */
+  private void checkHandshake() {
+    if (peer == null && channel().isActive()) {
+      link.stats().connectionsTimedOut.increment();
+      close();
+    }
   }
 
   @Override
--- a/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerLink.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/connection/PeerLink.java
@@ -46,6 +46,7 @@
 public final class PeerLink implements AutoCloseable {
   static final long HEARTBEAT_MS = 1_000;
   static final long MAX_HEARTBEAT_MS = 30_000;
+  static final long HANDSHAKE_TIMEOUT_MS = 3_000;
   private static final int MAX_BEATS_PER_SECOND = 32;
   private static final long SWEEP_MS = 250;
   private static final int CONNECT_TIMEOUT_MS = 2_000;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
@@ -27,8 +27,8 @@
  * Runs the membership protocol of a node on its control thread, over the peer link.
  *
  * <p>The service dials the seed addresses, the entry hosts of the host list and every member that
- * it hears of; an address is forgotten when no seed, host or remembered member has it. Each change
- * publishes a new view, which any thread may read.
+ * it hears of; an address is forgotten when no seed, host or remembered member has it. Changes
+ * publish a new view at the next tick, which any thread may read.
  *
  * <p>Once a second the node sends its load to nodes of its zone and of other zones. To bound the
  * traffic it sends to {@value #LOADS_PER_ROUND} of either a round, in turn: with 4 nodes in each of
@@ -94,7 +94,8 @@
   }
 
   /**
-   * Adds a listener of changes of the view.
+   * Adds a listener of changes of the members; a change of their versions of the configuration
+   * alone is not told.
    *
    * @param listener called on the control thread
    */
@@ -157,10 +158,15 @@
 
   private void onMessage(String from, SwimMessage message) {
     sendAll(membership.onMessage(from, message, nowMs()));
-    publish();
   }
 
   private void onPeerMet(PeerIdentity peer) {
+    if (!isAddress(peer.address())) {
+      LOGGER.log(
+          System.Logger.Level.WARNING,
+          LogEvent.of("peer-address-invalid").with("member", peer.nodeId()));
+      return;
+    }
     Member met =
         new Member(
             peer.nodeId(),
@@ -175,6 +181,15 @@
     publish();
   }
 
+  private static boolean isAddress(String text) {
+    try {
+      Addresses.parse(text);
+      return true;
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   private void onTick() {
     sendAll(membership.onTick(nowMs()));
     publish();
@@ -188,6 +203,10 @@
     }
   }
 
+  /**
+   * Publishes the view when it changed. Messages leave this to the next tick, since after a change
+   * of the configuration each member's version changes soon after the other.
+   */
   private void publish() {
     MembershipView next = membership.view();
     MembershipView before = view;
@@ -195,11 +214,28 @@
       return;
     }
     view = next;
+    if (hasSameMembers(before, next)) {
+      return;
+    }
     logChanges(before, next);
     updateDialled(next);
     listeners.forEach(listener -> listener.accept(next));
   }
 
+  /** Returns whether two views differ in versions of the configuration only. */
+  private static boolean hasSameMembers(MembershipView one, MembershipView other) {
+    List<Member> members = other.members();
+    return one.members().size() == members.size()
+        && members.stream()
+            .allMatch(
+                member ->
+                    one.member(member.nodeId())
+                        .filter(
+                            before ->
+                                before.withConfigVersion(0).equals(member.withConfigVersion(0)))
+                        .isPresent());
+  }
+
   private static void logChanges(MembershipView before, MembershipView next) {
     for (Member member : next.members()) {
       MemberState old = before.member(member.nodeId()).map(Member::state).orElse(null);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/SwimFrame.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/SwimFrame.java
@@ -106,13 +106,19 @@
         in.string("n"),
         in.string("z"),
         in.string("r"),
-        in.string("a"),
+        address(in.string("a")),
         in.integer("e"),
         in.integer("i"),
         state(in.integer("s")),
         in.integer("c"));
   }
 
+  /** Returns an address that can be dialled. */
+  private static String address(String text) {
+    Addresses.parse(text);
+    return text;
+  }
+
   private static long code(MemberState state) {
     return switch (state) {
       case ALIVE -> 0;
--- a/daemon/src/test/java/org/sycamoretrack/daemon/connection/PeerLinkTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/connection/PeerLinkTest.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -178,4 +179,19 @@
     assertThat(b.link.stats().malformedFrames()).isEqualTo(1);
     assertThat(take(a.connected)).as("a dials again").isEqualTo("b");
   }
+
+  @Test
+  void aListenerThatNeverSpeaksIsGivenUpAndDialledAgain() throws IOException {
+    Node a = new Node("a", null, 0);
+    try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      silent.setSoTimeout(TIMEOUT_MS);
+      a.link.dial((InetSocketAddress) silent.getLocalSocketAddress());
+      try (Socket first = silent.accept();
+          Socket second = silent.accept()) {
+        assertThat(first.getInputStream().read()).as("closed by a").isEqualTo(-1);
+        assertThat(second.isConnected()).isTrue();
+      }
+    }
+    assertThat(a.link.stats().connectionsTimedOut()).isEqualTo(1);
+  }
 }
