--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTimes.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTimes.java
@@ -14,5 +14,5 @@
 public record ClaimTimes(
     long retryMs, long waitMs, long settleLingerMs, long takeOverAfterMs, long drainTimeoutMs) {
   /** The durations that nodes use unless their settings say otherwise. */
-  public static final ClaimTimes DEFAULT = new ClaimTimes(250, 5_000, 200, 8_000, 30_000);
+  public static final ClaimTimes DEFAULT = new ClaimTimes(250, 5_000, 200, 6_000, 30_000);
 }
