--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -16,10 +16,12 @@
           new AdmissionMeasure(),
           new SelectionMeasure(),
           new StragglerMeasure(),
+          new OverheadMeasure(),
           new CapacityMeasure());
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(description = "NAME... (admission, selection, stragglers, capacity or all)")
+  @Parameter(
+      description = "NAME... (admission, selection, stragglers, overhead, capacity or all)")
   private List<String> names = new ArrayList<>();
 
   @Parameter(names = "--seed", description = "seed of all chance")
