--- a/benchmarks/src/main/java/org/sycamoretrack/bench/connection/EngineModel.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/EngineModel.java
@@ -19,6 +19,9 @@
  */
 public final class EngineModel {
   private static final double REPORT_INTERVAL_MS = 1_000;
+  private static final double LOADING_FACTOR = 1.5;
+  private static final double SWAP_MS = 300;
+  private static final long NONE = -1;
 
   private final VirtualTime time;
   private final EngineProfile profile;
@@ -36,6 +39,10 @@
       };
   private boolean stepping;
   private int reportedLoad;
+  private double loadingFactor = 1;
+  private double pausedUntilMs;
+  private long version = 1;
+  private long loading = NONE;
   private long readTokens;
   private long busySteps;
 
@@ -91,7 +98,7 @@
    * @param listener hears of its tokens and end
    */
   public void submit(ModelRequest request, Listener listener) {
-    request.onSent(time.nowMs());
+    request.onSent(time.nowMs(), version);
     waiting.add(new Running(request, listener));
     if (!stepping) {
       stepping = true;
@@ -125,6 +132,37 @@
     return reportedLoad;
   }
 
+  /** Returns the weight version that it serves. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the version that it loads, -1 for none. */
+  public long loading() {
+    return loading;
+  }
+
+  /**
+   * Loads weights beside serving, which is slower meanwhile, and swaps them in a short pause.
+   *
+   * @param newVersion the version to load
+   * @param loadMs how long the load takes
+   * @param onLoaded is run when the version is served
+   */
+  public void load(long newVersion, double loadMs, Runnable onLoaded) {
+    loadingFactor = LOADING_FACTOR;
+    loading = newVersion;
+    time.after(
+        loadMs,
+        () -> {
+          loadingFactor = 1;
+          loading = NONE;
+          pausedUntilMs = time.nowMs() + SWAP_MS;
+          version = newVersion;
+          onLoaded.run();
+        });
+  }
+
   /** Returns how many prompt tokens were read so far. */
   public long readTokens() {
     return readTokens;
@@ -154,7 +192,9 @@
         profile.baseStepMs()
             + profile.stepMsPerRequest() * batch.size()
             + profile.prefillMsPerToken() * readNow;
-    time.after(stepMs * slowMoments.factorAt(time.nowMs()), this::finishStep);
+    double pauseMs = Math.max(0, pausedUntilMs - time.nowMs());
+    double factor = loadingFactor * slowMoments.factorAt(time.nowMs());
+    time.after(pauseMs + stepMs * factor, this::finishStep);
   }
 
   private void admit() {
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelEndpoint.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelEndpoint.java
@@ -182,6 +182,7 @@
         .limit(limit())
         .queuedTokens(queue == null ? 0 : queue.queuedTokens())
         .inService(inService)
+        .servedVersion(engine.version())
         .build();
   }
 
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelPool.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/connection/ModelPool.java
@@ -66,7 +66,7 @@
    * @param expectedTokens the tokens that it is expected to take
    */
   public void submit(ModelRequest request, long expectedTokens) {
-    submit(request, expectedTokens, Set.of(), 0);
+    submit(request, expectedTokens, Set.of(), 0, 0);
   }
 
   /**
@@ -76,12 +76,19 @@
    * @param expectedTokens the tokens that it is expected to take
    * @param excluded endpoints that must not be chosen
    * @param rank its order in its flow
+   * @param minVersion the oldest weight version that may serve it, 0 for any
    */
-  public void submit(ModelRequest request, long expectedTokens, Set<String> excluded, int rank) {
+  public void submit(
+      ModelRequest request, long expectedTokens, Set<String> excluded, int rank, long minVersion) {
     String zone = ZONES[request.id() % ZONES.length];
     RequestTraits traits =
         new RequestTraits(
-            request.requestClass(), zone, request.prefixHash(), 0, expectedTokens, excluded);
+            request.requestClass(),
+            zone,
+            request.prefixHash(),
+            minVersion,
+            expectedTokens,
+            excluded);
     Optional<String> chosen = placement.choose(views, traits, time.nowWholeMs());
     if (chosen.isEmpty()) {
       request.onEnd(ModelRequest.State.REFUSED, time.nowMs());
@@ -135,9 +142,14 @@
     endpoints.forEach(endpoint -> endpoint.stats().update(time.nowWholeMs(), medianMs));
   }
 
-  /** Returns whether rollout work could start at once on some endpoint. */
-  public boolean hasRoomForRollout() {
-    return endpoints.stream().anyMatch(e -> e.hasRoom(RequestClass.ROLLOUT));
+  /**
+   * Returns whether rollout work could start at once on some endpoint.
+   *
+   * @param minVersion the oldest weight version that may serve it
+   */
+  public boolean hasRoomForRollout(long minVersion) {
+    return endpoints.stream()
+        .anyMatch(e -> e.engine().version() >= minVersion && e.hasRoom(RequestClass.ROLLOUT));
   }
 
   /** Builds a {@link ModelPool}. */
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -8,6 +8,7 @@
 import org.sycamoretrack.bench.request.AdmissionMeasure;
 import org.sycamoretrack.bench.request.SelectionMeasure;
 import org.sycamoretrack.bench.request.StragglerMeasure;
+import org.sycamoretrack.bench.version.WaveMeasure;
 
 /** Runs measures by name; {@code all} runs each of them. */
 public final class Bench {
@@ -16,11 +17,13 @@
           new AdmissionMeasure(),
           new SelectionMeasure(),
           new StragglerMeasure(),
+          new WaveMeasure(),
           new OverheadMeasure(),
           new CapacityMeasure());
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(description = "NAME... (admission, selection, stragglers, overhead, capacity or all)")
+  @Parameter(
+      description = "NAME... (admission, selection, stragglers, waves, overhead, capacity or all)")
   private List<String> names = new ArrayList<>();
 
   @Parameter(names = "--seed", description = "seed of all chance")
--- a/benchmarks/src/main/java/org/sycamoretrack/bench/request/ModelRequest.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/request/ModelRequest.java
@@ -36,6 +36,7 @@
   private int tokensMade;
   private int attempts;
   private int moves;
+  private long oldestVersion = Long.MAX_VALUE;
   private double lastTokenAtMs;
   private double sentAtMs;
   private double endedAtMs;
@@ -132,6 +133,11 @@
     return attempts;
   }
 
+  /** Returns the oldest weights of an engine that it was sent to. */
+  public long oldestVersion() {
+    return oldestVersion;
+  }
+
   /** Returns how often it was moved to another engine. */
   public int moves() {
     return moves;
@@ -156,9 +162,11 @@
    * Notes that it is sent to an engine.
    *
    * @param nowMs the time now
+   * @param weightVersion the weights that the engine serves
    */
-  public void onSent(double nowMs) {
+  public void onSent(double nowMs, long weightVersion) {
     attempts++;
+    oldestVersion = Math.min(oldestVersion, weightVersion);
     sentAtMs = nowMs;
     lastTokenAtMs = nowMs;
   }
