--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/KeyedCallTest.java
@@ -0,0 +1,134 @@
+package org.sycamoretrack.daemon.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.sycamoretrack.daemon.system.SystemRun.SERVICE;
+import static org.sycamoretrack.daemon.system.SystemRun.fault;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sycamoretrack.standins.driver.NodeAddress;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/** Bookings with an idempotency key through several nodes, with deaths and outages in between. */
+class KeyedCallTest {
+  private static final String SLOW_BOOKING = "/services/" + SERVICE + "/bookings?workMs=500";
+
+  private static String code(HttpAnswer answer) {
+    return answer.json().path("error").path("code").asText();
+  }
+
+  private static String outcome(HttpAnswer answer) {
+    return answer.json().path("error").path("outcome").asText();
+  }
+
+  @Test
+  void bookingThroughAllNodesAtOnceRunsOnce() {
+    try (SystemRun run = SystemRun.start("booking-at-once")) {
+      List<CompletableFuture<HttpAnswer>> calls =
+          run.launcher().context().balancer().nodes().stream()
+              .map(node -> run.book(node, SLOW_BOOKING, "family-1"))
+              .toList();
+      List<HttpAnswer> answers = calls.stream().map(CompletableFuture::join).toList();
+      assertThat(answers).anyMatch(answer -> answer.status() == 200);
+      assertThat(answers)
+          .allMatch(answer -> answer.status() == 200 || !outcome(answer).equals("ran"));
+      assertThat(run.executions("family-1")).isEqualTo(1);
+      for (NodeAddress node : run.launcher().context().balancer().nodes()) {
+        HttpAnswer again = run.book(node, SLOW_BOOKING, "family-1").join();
+        assertThat(again.status()).as(again.json().toString()).isEqualTo(200);
+      }
+      assertThat(run.executions("family-1")).isEqualTo(1);
+      run.assertPromises();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"OUTAGE", "SLOW"})
+  void bookingAfterItsFirstNodeDiedBetweenClaimAndAnswerDoesNotRunAgain(FaultKind kind) {
+    try (SystemRun run = SystemRun.start("booking-node-died-" + kind.wireName())) {
+      run.endpoints(SERVICE)
+          .forEach(
+              e ->
+                  run.addFault(
+                      e.address(),
+                      fault(kind).put("path", "/bookings").put("times", 1).put("delayMs", 8_000)));
+      NodeAddress first = run.node(0);
+      CompletableFuture<HttpAnswer> lost = run.book(first, SLOW_BOOKING, "family-2");
+      SystemRun.await(
+          "the endpoint's first sight of the booking",
+          () -> run.endpoints(SERVICE).stream().anyMatch(e -> run.faultCount(e.address()) > 0));
+      run.launcher().killNode(first.nodeId());
+      assertThat(lost.handle((answer, failure) -> true).join()).isTrue();
+      for (int i = 0; i < 3; i++) {
+        HttpAnswer answer = run.book(run.node(i), SLOW_BOOKING, "family-2").join();
+        assertThat(code(answer)).as(answer.json().toString()).isEqualTo("claim-unsettled");
+        assertThat(outcome(answer)).isEqualTo("unknown");
+      }
+      assertThat(run.executions("family-2")).isLessThanOrEqualTo(1);
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void bookingWithThePlatformOutIsRefusedAsNotRunAndRunsLater() {
+    try (SystemRun run = SystemRun.start("booking-platform-out")) {
+      run.addFault(run.launcher().platform(), fault(FaultKind.OUTAGE));
+      HttpAnswer refused = run.book(run.node(0), SLOW_BOOKING, "family-3").join();
+      assertThat(outcome(refused)).as(refused.json().toString()).isEqualTo("not-run");
+      assertThat(run.executions("family-3")).isZero();
+      run.clearFaults(run.launcher().platform());
+      SystemRun.await(
+          "a booking after the outage",
+          () -> run.book(run.node(1), SLOW_BOOKING, "family-3").join().status() == 200);
+      assertThat(run.executions("family-3")).isEqualTo(1);
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void claimWhoseAnswerIsLostRunsAtMostOnce() {
+    try (SystemRun run = SystemRun.start("booking-claim-lost")) {
+      run.addFault(
+          run.launcher().platform(),
+          fault(FaultKind.LOST_ANSWER).put("path", "/transactions").put("share", 0.5));
+      for (int i = 0; i < 20; i++) {
+        String key = "family-4-" + i;
+        SystemRun.await(
+            "an answer that settles the booking",
+            () -> {
+              HttpAnswer answer = run.book(run.node(0), SLOW_BOOKING, key).join();
+              return answer.status() == 200 || outcome(answer).equals("unknown");
+            });
+        assertThat(run.executions(key)).isLessThanOrEqualTo(1);
+      }
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void claimWhoseAnswerIsLostAndWhoseOwnerDiesBeforeItReadsBackRunsAtMostOnce() {
+    try (SystemRun run = SystemRun.start("booking-claim-lost-owner-died")) {
+      NodeAddress first = run.node(0);
+      run.addFault(
+          run.launcher().platform(), fault(FaultKind.LOST_ANSWER).put("path", "/transactions"));
+      CompletableFuture<HttpAnswer> lost = run.book(first, SLOW_BOOKING, "family-5");
+      SystemRun.await(
+          "a lost answer", () -> run.faultCount(run.launcher().platform()) > 0 || lost.isDone());
+      run.launcher().killNode(first.nodeId());
+      run.clearFaults(run.launcher().platform());
+      assertThat(lost.handle((answer, failure) -> true).join()).isTrue();
+      SystemRun.await(
+          "an answer that settles the booking",
+          () -> {
+            HttpAnswer answer = run.book(run.node(0), SLOW_BOOKING, "family-5").join();
+            return answer.status() == 200 || outcome(answer).equals("unknown");
+          });
+      assertThat(run.executions("family-5")).isLessThanOrEqualTo(1);
+      run.assertPromises();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/NodeFailureTest.java
@@ -0,0 +1,89 @@
+package org.sycamoretrack.daemon.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+
+/** Nodes that stop, die, freeze and come back under a trainer and callers. */
+class NodeFailureTest {
+  private static final int FREEZE_MS = 20_000;
+
+  @Test
+  void allNodesRestartedOneAfterTheOtherInTheMiddleOfAStep() {
+    try (SystemRun run = SystemRun.start("all-nodes-restarted")) {
+      run.startCallers();
+      run.startTraining(0);
+      for (String nodeId : run.launcher().nodeIds()) {
+        run.awaitSamples(20);
+        run.launcher().stopNode(nodeId);
+        run.launcher().startNodes(List.of(nodeId));
+      }
+      run.awaitSamples(20);
+      run.finishTraining();
+      run.finishCallers();
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void halfOfTheNodesTakenAwayForGoodAndLaterGivenBack() {
+    try (SystemRun run = SystemRun.start("half-taken-away")) {
+      List<String> half = run.launcher().nodeIds().subList(0, 2);
+      run.startCallers();
+      run.startTraining(0);
+      run.awaitSamples(20);
+      half.forEach(run.launcher()::killNode);
+      run.awaitSamples(150);
+      run.launcher().startNodes(half);
+      run.awaitSamples(150);
+      run.finishTraining();
+      run.finishCallers();
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void nodeKilledInTheMiddleOfAStep() {
+    try (SystemRun run = SystemRun.start("node-killed")) {
+      run.startCallers();
+      run.startTraining(0);
+      run.awaitSamples(20);
+      run.launcher().killNode(run.stepOwner());
+      run.awaitSamples(150);
+      run.finishTraining();
+      run.finishCallers();
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void nodeFrozenPastItsLeaseAndWoken() {
+    try (SystemRun run = SystemRun.start("node-frozen")) {
+      run.startCallers();
+      run.startTraining(0);
+      run.awaitSamples(20);
+      String frozen = run.stepOwner();
+      run.launcher().freezeNode(frozen);
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(FREEZE_MS));
+      run.launcher().wakeNode(frozen);
+      run.awaitSamples(150);
+      run.finishTraining();
+      run.finishCallers();
+      run.assertPromises();
+    }
+  }
+
+  @Test
+  void lostPollAnswersAreAskedForAgainAtAnotherNode() {
+    try (SystemRun run = SystemRun.start("lost-poll-answers")) {
+      run.startTraining(0.5);
+      run.awaitSamples(300);
+      run.finishTraining();
+      assertThat(run.abandonedPolls()).isPositive();
+      run.assertPromises();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
@@ -0,0 +1,349 @@
+package org.sycamoretrack.daemon.system;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.sycamoretrack.standins.driver.CallerReport;
+import org.sycamoretrack.standins.driver.CallerStandin;
+import org.sycamoretrack.standins.driver.Deployment;
+import org.sycamoretrack.standins.driver.Deployment.CallerKind;
+import org.sycamoretrack.standins.driver.Deployment.PoolType;
+import org.sycamoretrack.standins.driver.DriverContext;
+import org.sycamoretrack.standins.driver.Endpoint;
+import org.sycamoretrack.standins.driver.LaunchOptions;
+import org.sycamoretrack.standins.driver.Launcher;
+import org.sycamoretrack.standins.driver.NodeAddress;
+import org.sycamoretrack.standins.driver.TrainerOptions;
+import org.sycamoretrack.standins.driver.TrainerReport;
+import org.sycamoretrack.standins.driver.TrainerStandin;
+import org.sycamoretrack.standins.history.History;
+import org.sycamoretrack.standins.history.HistoryRecord;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnd;
+import org.sycamoretrack.standins.history.HistoryRecord.PollEnded;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestAnswered;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestBroken;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestRefused;
+import org.sycamoretrack.standins.history.HistoryRecord.RequestSent;
+import org.sycamoretrack.standins.history.InvariantChecker;
+import org.sycamoretrack.standins.process.FaultKind;
+import org.sycamoretrack.standins.process.Standins;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpRequest;
+
+/**
+ * A deployment of real processes, under a trainer and callers, whose history is judged at the end:
+ * two zones with two nodes each, four engines, two plain services.
+ */
+final class SystemRun implements AutoCloseable {
+  static final String POOL = "modellhall";
+  static final String SERVICE = "orderdisk";
+  static final String TRACK = "cut-patterns";
+
+  private static final long STEP_TIMEOUT_MS = 90_000;
+  private static final long AWAIT_TIMEOUT_MS = 60_000;
+  private static final int MANY_STEPS = 10_000;
+  private static final int ANY_LAG = 10_000;
+
+  private final Launcher launcher;
+  private final AtomicInteger sendings = new AtomicInteger();
+  private final List<CallerStandin> callers = new ArrayList<>();
+  private TrainerStandin trainer;
+  private CompletableFuture<TrainerReport> training;
+
+  private SystemRun(Launcher launcher) {
+    this.launcher = launcher;
+  }
+
+  /** Starts the processes; their logs go to a directory of the test's name. */
+  static SystemRun start(String testName, String... platformOptions) {
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    List<String> jvm =
+        List.of(
+            java,
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "--add-opens",
+            "java.base/jdk.internal.misc=ALL-UNNAMED",
+            "-cp",
+            System.getProperty("java.class.path"));
+    LaunchOptions options =
+        new LaunchOptions(
+            command(jvm, "-Xmx64m", "org.sycamoretrack.daemon.process.Sycamoretrackd"),
+            command(jvm, "-Xmx256m", Standins.class.getName()),
+            Path.of("target", "system", testName),
+            List.of(platformOptions),
+            List.of("--max-batch", "32"));
+    return new SystemRun(Launcher.start(deployment(), options));
+  }
+
+  private static List<String> command(List<String> jvm, String memory, String mainClass) {
+    List<String> command = new ArrayList<>(jvm);
+    command.add(1, memory);
+    command.add(mainClass);
+    return command;
+  }
+
+  private static Deployment deployment() {
+    return new Deployment(
+        "fyllnadsgruppen",
+        "svealand",
+        List.of("svea-a", "svea-b"),
+        2,
+        0,
+        0,
+        List.of(
+            new Deployment.Pool(POOL, PoolType.model, 4, 150, 4_000, 0),
+            new Deployment.Pool(SERVICE, PoolType.service, 2, 0, 0, 5)),
+        List.of(new Deployment.Trainer(TRACK, "svea-a", POOL, MANY_STEPS, 16, 8, 512, ANY_LAG, 0)),
+        List.of(
+            new Deployment.Caller("terminals", "svea-a", CallerKind.lookup, SERVICE, 20, 0),
+            new Deployment.Caller("counter", "svea-b", CallerKind.booking, SERVICE, 10, 0),
+            new Deployment.Caller("assistants", "svea-b", CallerKind.completion, POOL, 5, 24)));
+  }
+
+  Launcher launcher() {
+    return launcher;
+  }
+
+  private DriverContext context() {
+    return launcher.context();
+  }
+
+  NodeAddress node(int index) {
+    return context().balancer().nodes().get(index);
+  }
+
+  List<Endpoint> endpoints(String pool) {
+    return launcher.endpoints().stream().filter(each -> each.pool().name().equals(pool)).toList();
+  }
+
+  /** Starts all callers. */
+  void startCallers() {
+    context()
+        .deployment()
+        .callers()
+        .forEach(caller -> callers.add(CallerStandin.start(context(), caller)));
+  }
+
+  /** Starts the trainer, which trains step after step until {@link #finishTraining}. */
+  void startTraining(double abandonShare) {
+    TrainerOptions options = new TrainerOptions(1, STEP_TIMEOUT_MS, abandonShare);
+    trainer = new TrainerStandin(context(), context().deployment().trainers().get(0), options);
+    training = new CompletableFuture<>();
+    Thread.ofVirtual().start(() -> training.completeAsync(trainer::run, Runnable::run));
+  }
+
+  /** Waits until the trainer has received more samples. */
+  void awaitSamples(int more) {
+    int wanted = trainer.receivedCount() + more;
+    await("samples", () -> trainer.receivedCount() >= wanted);
+  }
+
+  /** Waits until a caller has made more calls. */
+  void awaitCalls(int more) {
+    int wanted = callers.get(0).requestCount() + more;
+    await("calls", () -> callers.get(0).requestCount() >= wanted);
+  }
+
+  /** Waits until the trainer has every sample of the step under way. */
+  void awaitRestOfStep() {
+    int slots = context().deployment().trainers().get(0).slots();
+    int wanted = (trainer.receivedCount() / slots + 1) * slots;
+    await("the rest of the step", () -> trainer.receivedCount() >= wanted);
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_TIMEOUT_MS);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("waiting for " + what).isLessThan(endNs);
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+    }
+  }
+
+  /** Lets the step under way end, and asserts that every sample arrived as it should. */
+  void finishTraining() {
+    trainer.requestStop();
+    TrainerReport report = training.orTimeout(STEP_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
+    assertThat(report.stepsCompleted()).isPositive();
+    assertThat(report.samplesDelivered()).isEqualTo(report.samplesExpected());
+    assertThat(report.duplicates() + report.missing() + report.stale() + report.wrongVersion())
+        .as(report.toString())
+        .isZero();
+  }
+
+  /** Stops the callers and asserts that every call was answered whole. */
+  void finishCallers() {
+    for (CallerStandin caller : callers) {
+      CallerReport report = caller.stop();
+      assertThat(report.requests()).isPositive();
+      assertThat(caller.notes()).as(report.toString()).isEmpty();
+    }
+  }
+
+  /** Reads the journals and asserts that every promise held. */
+  void assertPromises() {
+    clearFaults();
+    launcher.collectJournals();
+    assertThat(InvariantChecker.check(context().history())).isEmpty();
+  }
+
+  /** Sends a request and returns the answer, whatever its status. */
+  HttpAnswer call(String method, InetSocketAddress address, String target, ObjectNode body) {
+    HttpRequest.Builder request = HttpRequest.builder(method, address, target).timeoutMs(20_000);
+    return context().call((body == null ? request : request.json(body)).build());
+  }
+
+  /** Returns a fault in JSON, to which its parameters are added. */
+  static ObjectNode fault(FaultKind kind) {
+    return Json.object().put("kind", kind.wireName());
+  }
+
+  /** Adds a fault to an endpoint or the platform. */
+  void addFault(InetSocketAddress address, ObjectNode fault) {
+    assertThat(call("POST", address, "/faults", fault).status()).isEqualTo(200);
+  }
+
+  /** Returns how often faults have occurred at an endpoint or the platform. */
+  int faultCount(InetSocketAddress address) {
+    return call("GET", address, "/faults", null).json().path("occurred").asInt();
+  }
+
+  /** Removes the faults of all endpoints and of the platform. */
+  void clearFaults() {
+    clearFaults(launcher.platform());
+    launcher.endpoints().forEach(endpoint -> clearFaults(endpoint.address()));
+  }
+
+  void clearFaults(InetSocketAddress address) {
+    call("DELETE", address, "/faults", null);
+  }
+
+  /** Crashes an engine, which comes back after a time, or never when it is negative. */
+  void crash(Endpoint engine, int restartAfterMs) {
+    ObjectNode body = Json.object().put("restartAfterMs", restartAfterMs);
+    call("POST", engine.address(), "/crash", body);
+  }
+
+  /** Publishes a version in the weight store. */
+  void publish(int version) {
+    String target = "/models/" + POOL + "/versions/" + version;
+    assertThat(call("PUT", launcher.platform(), target, null).status()).isEqualTo(200);
+  }
+
+  /** Returns the highest fencing number that an engine has seen. */
+  long fence(Endpoint engine) {
+    return call("GET", engine.address(), "/weights", null).json().path("fence").asLong();
+  }
+
+  /** Orders an engine to load a version. */
+  void order(Endpoint engine, int version, long fence) {
+    ObjectNode order =
+        Json.object()
+            .put("orderId", "test")
+            .put("order", "load-weights")
+            .put("version", version)
+            .put("fence", fence)
+            .put("node", "test");
+    assertThat(call("POST", engine.address(), "/orders", order).status()).isEqualTo(202);
+  }
+
+  /** Returns the node that owns the step under way. */
+  String stepOwner() {
+    return context().balancer().nodes().stream()
+        .filter(n -> !call("GET", n.operator(), "/state", null).json().path("steps").isEmpty())
+        .map(NodeAddress::nodeId)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Returns the number of polls that the trainer has abandoned. */
+  long abandonedPolls() {
+    return context().history().all(PollEnded.class).stream()
+        .filter(poll -> poll.end() == PollEnd.ABANDONED)
+        .count();
+  }
+
+  /** Sends a booking with an idempotency key through a node. */
+  CompletableFuture<HttpAnswer> book(NodeAddress node, String target, String key) {
+    String requestId = key + "-" + sendings.incrementAndGet();
+    History history = context().history();
+    history.add(
+        new RequestSent(
+            System.currentTimeMillis(), requestId, node.nodeId(), false, key, null, null));
+    HttpRequest request =
+        HttpRequest.builder("POST", node.caller(), target)
+            .header("idempotency-key", key)
+            .header("x-request-id", requestId)
+            .json(Json.object().put("stall", key))
+            .timeoutMs(20_000)
+            .build();
+    return context()
+        .client()
+        .call(request)
+        .whenComplete((answer, failure) -> history.add(end(requestId, answer)));
+  }
+
+  private static HistoryRecord end(String requestId, HttpAnswer answer) {
+    long nowMs = System.currentTimeMillis();
+    if (answer == null) {
+      return new RequestBroken(nowMs, requestId, true);
+    }
+    JsonNode json = answer.json();
+    if (answer.status() == 200) {
+      return new RequestAnswered(nowMs, requestId, json.toString(), 0);
+    }
+    JsonNode error = json.path("error");
+    return new RequestRefused(
+        nowMs, requestId, error.path("code").asText(), error.path("outcome").asText());
+  }
+
+  /** Returns how often the call with a key was executed. */
+  long executions(String key) {
+    return endpoints(SERVICE).stream()
+        .flatMap(service -> executions(service).valueStream())
+        .filter(call -> call.path("idempotencyKey").asText().equals(key))
+        .count();
+  }
+
+  private JsonNode executions(Endpoint service) {
+    String target = "/executions?after=0";
+    return call("GET", service.address(), target, null).json().path("executions");
+  }
+
+  /** Returns the number of requests that an endpoint has accepted so far. */
+  int workCount(Endpoint endpoint) {
+    return endpoint.pool().name().equals(SERVICE)
+        ? executions(endpoint).size()
+        : statistics(endpoint).path("streams").asInt();
+  }
+
+  static void join(Thread thread) {
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  JsonNode statistics(Endpoint engine) {
+    return call("GET", engine.address(), "/statistics", null).json();
+  }
+
+  @Override
+  public void close() {
+    callers.forEach(CallerStandin::close);
+    launcher.close();
+  }
+}
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/CallerCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/CallerCommand.java
@@ -14,7 +14,10 @@
   @Parameter(names = "--config", description = "File of the deployment", required = true)
   private String config;
 
-  @Parameter(names = "--addresses", description = "What quickstart --serve printed", required = true)
+  @Parameter(
+      names = "--addresses",
+      description = "What quickstart --serve printed",
+      required = true)
   private String addresses;
 
   @Parameter(names = "--name", description = "Name of the caller", required = true)
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/CallerStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/CallerStandin.java
@@ -24,7 +24,7 @@
  * of its own. A call succeeds when an answer with the expected content arrived whole.
  */
 public final class CallerStandin implements AutoCloseable {
-  private static final int TIMEOUT_MS = 20_000;
+  private static final int TIMEOUT_MS = 10_000;
   private static final int MAX_SENDINGS = 40;
   private static final int RETRY_PAUSE_MS = 100;
   private static final int MAX_NOTES = 20;
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerCommand.java
@@ -15,7 +15,10 @@
   @Parameter(names = "--config", description = "File of the deployment", required = true)
   private String config;
 
-  @Parameter(names = "--addresses", description = "What quickstart --serve printed", required = true)
+  @Parameter(
+      names = "--addresses",
+      description = "What quickstart --serve printed",
+      required = true)
   private String addresses;
 
   @Parameter(names = "--name", description = "Name of the trainer", required = true)
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
@@ -20,6 +20,7 @@
   private final Deployment.Trainer trainer;
   private final TrainerOptions options;
   private final AtomicInteger received = new AtomicInteger();
+  private volatile boolean stopRequested;
 
   /**
    * Creates a trainer.
@@ -39,11 +40,16 @@
     return received.get();
   }
 
-  /** Trains all steps and returns what was counted. */
+  /** Lets the step under way be the last one. */
+  public void requestStop() {
+    stopRequested = true;
+  }
+
+  /** Trains all steps, or until a stop is requested, and returns what was counted. */
   public TrainerReport run() {
     TrainerReport total = TrainerReport.NONE;
     int trainsVersion = versions().path("latest").asInt();
-    for (int step = 0; step < trainer.steps(); step++) {
+    for (int step = 0; step < trainer.steps() && !stopRequested; step++) {
       StepRun run = new StepRun(context, trainer, step, trainsVersion, options, received);
       total = total.plus(run.run()).plus(unknownVersions(run.versions()));
       DriverContext.pause(trainer.trainTimeMs());
--- a/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/Standins.java
@@ -19,7 +19,12 @@
 
   private static List<Command> commands() {
     return List.of(
-        new PlatformCommand(), new EngineCommand(), new ServiceCommand(), new TrainerCommand(), new CallerCommand(), new QuickstartCommand());
+        new PlatformCommand(),
+        new EngineCommand(),
+        new ServiceCommand(),
+        new TrainerCommand(),
+        new CallerCommand(),
+        new QuickstartCommand());
   }
 
   /**
--- a/standins/src/test/java/org/sycamoretrack/standins/driver/FakeNode.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/driver/FakeNode.java
@@ -133,7 +133,8 @@
     version += active == Fault.UNPUBLISHED_VERSION ? 100 : 0;
     int end = active == Fault.SPANS_SHORT ? 1 : 2;
     for (int i = 0; i < (active == Fault.SAMPLE_TWICE ? 2 : 1); i++) {
-      ObjectNode sample = samples.addObject().put("slot", slot).put("text", " a b").put("tokens", 2);
+      ObjectNode sample =
+          samples.addObject().put("slot", slot).put("text", " a b").put("tokens", 2);
       ArrayNode spans = sample.putArray("spans");
       spans.addObject().put("version", version).put("fromToken", 0).put("toToken", end);
     }
