--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/NodeFailureTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/NodeFailureTest.java
@@ -9,7 +9,7 @@
 
 /** Nodes that stop, die, freeze and come back under a trainer and callers. */
 class NodeFailureTest {
-  private static final int FREEZE_MS = 20_000;
+  private static final int FREEZE_MS = 2 * SystemRun.LEASE_MS;
 
   @Test
   void allNodesRestartedOneAfterTheOtherInTheMiddleOfAStep() {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -50,6 +51,8 @@
   static final String SERVICE = "orderdisk";
   static final String TRACK = "cut-patterns";
 
+  static final int LEASE_MS = 4_000;
+
   private static final long STEP_TIMEOUT_MS = 90_000;
   private static final long AWAIT_TIMEOUT_MS = 60_000;
   private static final int MANY_STEPS = 10_000;
@@ -83,7 +86,8 @@
             command(jvm, "-Xmx256m", Standins.class.getName()),
             Path.of("target", "system", testName),
             List.of(platformOptions),
-            List.of("--max-batch", "32"));
+            List.of("--max-batch", "32"),
+            Map.of("leaseMs", LEASE_MS));
     return new SystemRun(Launcher.start(deployment(), options));
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
@@ -229,6 +229,7 @@
     for (String service : List.of("table", "objects", "hosts", "weights")) {
       addresses.put(service, LOOPBACK + ":" + platform.getPort());
     }
+    settings.set("limits", Json.mapper().valueToTree(options.limits()));
     Path file = options.runDirectory().resolve(nodeId + ".json");
     try {
       return Files.write(file, Json.bytes(settings));
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.sycamoretrack.standins.process.Command;
 import org.sycamoretrack.standins.process.Standins;
 
@@ -65,6 +66,7 @@
         List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-jar", standinsJar),
         Path.of(runDirectory),
         List.of(),
-        List.of());
+        List.of(),
+        Map.of());
   }
 }
