--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
@@ -49,6 +49,7 @@
 final class SystemRun implements AutoCloseable {
   static final String POOL = "modellhall";
   static final String SERVICE = "orderdisk";
+  static final String SCORER = "scoring";
   static final String TRACK = "cut-patterns";
 
   static final int LEASE_MS = 4_000;
@@ -108,8 +109,11 @@
         0,
         List.of(
             new Deployment.Pool(POOL, PoolType.model, 4, 150, 4_000, 0),
-            new Deployment.Pool(SERVICE, PoolType.service, 2, 0, 0, 5)),
-        List.of(new Deployment.Trainer(TRACK, "svea-a", POOL, MANY_STEPS, 16, 8, 512, ANY_LAG, 0)),
+            new Deployment.Pool(SERVICE, PoolType.service, 2, 0, 0, 5),
+            new Deployment.Pool(SCORER, PoolType.service, 1, 0, 0, 1)),
+        List.of(
+            new Deployment.Trainer(
+                TRACK, "svea-a", POOL, SCORER, MANY_STEPS, 16, 8, 512, ANY_LAG, 0)),
         List.of(
             new Deployment.Caller("terminals", "svea-a", CallerKind.lookup, SERVICE, 20, 0),
             new Deployment.Caller("counter", "svea-b", CallerKind.booking, SERVICE, 10, 0),
@@ -181,7 +185,12 @@
     TrainerReport report = training.orTimeout(STEP_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
     assertThat(report.stepsCompleted()).isPositive();
     assertThat(report.samplesDelivered()).isEqualTo(report.samplesExpected());
-    assertThat(report.duplicates() + report.missing() + report.stale() + report.wrongVersion())
+    assertThat(
+            report.duplicates()
+                + report.missing()
+                + report.stale()
+                + report.wrongVersion()
+                + report.wrongScore())
         .as(report.toString())
         .isZero();
   }
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Deployment.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Deployment.java
@@ -80,6 +80,7 @@
    * @param name the name, also of its track
    * @param zone the zone it is in
    * @param pool the model pool that serves it
+   * @param scorer the plain service that scores its samples, or null
    * @param steps number of steps to train
    * @param groups groups in a step
    * @param samplesPerGroup samples in a group
@@ -91,6 +92,7 @@
       String name,
       String zone,
       String pool,
+      String scorer,
       int steps,
       int groups,
       int samplesPerGroup,
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/OperatorClient.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/OperatorClient.java
@@ -50,7 +50,8 @@
       ObjectNode track =
           Json.object()
               .put("trainerGroup", trainer.name())
-              .put("maxVersionLag", trainer.maxVersionLag());
+              .put("maxVersionLag", trainer.maxVersionLag())
+              .put("scorer", trainer.scorer());
       put("tracks", trainer.name(), Map.of(), track);
     }
   }
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Quickstart.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Quickstart.java
@@ -26,6 +26,7 @@
   private final Consumer<String> progress;
   private final List<TrainerStandin> trainers = new ArrayList<>();
   private final List<CallerStandin> callers = new ArrayList<>();
+  private boolean clean;
 
   /**
    * Creates a run.
@@ -65,6 +66,11 @@
     }
   }
 
+  /** Returns whether everything arrived as it should and no promise was broken. */
+  public boolean isClean() {
+    return clean;
+  }
+
   private List<TrainerReport> train() {
     List<CompletableFuture<TrainerReport>> runs = new ArrayList<>();
     for (TrainerStandin trainer : trainers) {
@@ -88,10 +94,11 @@
         .limit(MAX_SHOWN)
         .forEach(violation -> progress.accept("violation: " + violation));
     long untrue = violations.stream().filter(v -> v.promise() == Promise.TRUE_VERSIONS).count();
-    if (violations.size() > untrue) {
-      progress.accept("other violations: " + (violations.size() - untrue));
-    }
-    return QuickstartReport.of(trained, called, (int) untrue, elapsedMs);
+    QuickstartReport report = QuickstartReport.of(trained, called, (int) untrue, elapsedMs);
+    int wrongScores = trained.stream().mapToInt(TrainerReport::wrongScore).sum();
+    progress.accept("violations: " + violations.size() + ", wrong scores: " + wrongScores);
+    clean = report.isClean() && violations.isEmpty() && wrongScores == 0;
+    return report;
   }
 
   private void showProgress() {
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -53,9 +53,9 @@
         AddressLines.of(launcher.context()).forEach(Standins::printLine);
         Standins.serve();
       }
-      QuickstartReport report = new Quickstart(launcher, System.err::println).run();
-      Standins.printLine(report);
-      return report.isClean() ? 0 : EXIT_NOT_CLEAN;
+      Quickstart quickstart = new Quickstart(launcher, System.err::println);
+      Standins.printLine(quickstart.run());
+      return quickstart.isClean() ? 0 : EXIT_NOT_CLEAN;
     }
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
@@ -18,6 +18,7 @@
 import org.sycamoretrack.standins.history.HistoryRecord.SampleReceived;
 import org.sycamoretrack.standins.history.HistoryRecord.StepOpened;
 import org.sycamoretrack.standins.history.Span;
+import org.sycamoretrack.standins.process.ServiceStandin;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpFailure;
@@ -53,6 +54,7 @@
   private int duplicates;
   private int stale;
   private int malformed;
+  private int wrongScore;
 
   StepRun(
       DriverContext context,
@@ -216,11 +218,21 @@
     if (!covers(spans, tokens)) {
       malformed++;
     }
+    if (!hasRightScore(sample, text)) {
+      wrongScore++;
+    }
     if (spans.stream().anyMatch(s -> s.version() < trainsVersion - trainer.maxVersionLag())) {
       stale++;
     }
   }
 
+  private boolean hasRightScore(JsonNode sample, String text) {
+    JsonNode score = sample.path("score");
+    return trainer.scorer() == null
+        ? !score.isNumber()
+        : score.isNumber() && score.asDouble() == ServiceStandin.score(text);
+  }
+
   private List<Span> spans(JsonNode sample) {
     List<Span> spans = new ArrayList<>();
     for (JsonNode span : sample.path("spans")) {
@@ -264,6 +276,14 @@
     int missing = trainer.slots() - delivered;
     int completed = missing == 0 ? 1 : 0;
     return new TrainerReport(
-        completed, trainer.slots(), delivered, duplicates, missing, stale, malformed, idleMs);
+        completed,
+        trainer.slots(),
+        delivered,
+        duplicates,
+        missing,
+        stale,
+        malformed,
+        wrongScore,
+        idleMs);
   }
 }
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerReport.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerReport.java
@@ -10,6 +10,7 @@
  * @param missing samples that did not arrive
  * @param stale samples with a span older than the bound
  * @param wrongVersion samples that name a version that was never published, or not every token
+ * @param wrongScore samples without the score that the track's scorer gives
  * @param idleMs time in which the trainer waited for samples
  */
 public record TrainerReport(
@@ -20,9 +21,10 @@
     int missing,
     int stale,
     int wrongVersion,
+    int wrongScore,
     long idleMs) {
   /** Counts nothing. */
-  static final TrainerReport NONE = new TrainerReport(0, 0, 0, 0, 0, 0, 0, 0);
+  static final TrainerReport NONE = new TrainerReport(0, 0, 0, 0, 0, 0, 0, 0, 0);
 
   /**
    * Adds another report.
@@ -39,6 +41,7 @@
         missing + other.missing,
         stale + other.stale,
         wrongVersion + other.wrongVersion,
+        wrongScore + other.wrongScore,
         idleMs + other.idleMs);
   }
 }
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/TrainerStandin.java
@@ -61,7 +61,7 @@
   private TrainerReport unknownVersions(Set<Integer> named) {
     Set<Integer> unknown = new HashSet<>(named);
     versions().path("versions").forEach(version -> unknown.remove(version.asInt()));
-    return new TrainerReport(0, 0, 0, 0, 0, 0, unknown.size(), 0);
+    return new TrainerReport(0, 0, 0, 0, 0, 0, unknown.size(), 0, 0);
   }
 
   private JsonNode versions() {
--- a/standins/src/test/java/org/sycamoretrack/standins/driver/DriverTest.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/driver/DriverTest.java
@@ -27,7 +27,7 @@
 /** Tests that trainers and callers count what nodes do wrong, and only that. */
 class DriverTest {
   private static final Deployment.Trainer TRAINER =
-      new Deployment.Trainer("t", "svea-a", "modellhall", 1, 2, 3, 2, 1, 0);
+      new Deployment.Trainer("t", "svea-a", "modellhall", null, 1, 2, 3, 2, 1, 0);
   private static final TrainerOptions OPTIONS = new TrainerOptions(1, 20_000, 0);
 
   private EventLoopGroup group;
