--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
@@ -183,18 +183,17 @@
       command.addAll(List.of("--settings", writeSettings(nodeId).toString()));
       starting.put(nodeId, ManagedProcess.start(nodeId, command, options.runDirectory()));
     }
-    starting.forEach(this::register);
-    publishNodes();
-  }
-
-  private void register(String nodeId, ManagedProcess process) {
-    JsonNode ready;
     try {
-      ready = process.awaitReady();
+      starting.forEach(this::register);
     } catch (IllegalStateException e) {
-      process.kill();
+      starting.values().forEach(ManagedProcess::kill);
       throw e;
     }
+    publishNodes();
+  }
+
+  private void register(String nodeId, ManagedProcess process) {
+    JsonNode ready = process.awaitReady();
     NodeAddress address =
         new NodeAddress(
             nodeId,
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -46,6 +46,15 @@
       System.err.println("error invalid-request: " + e.getMessage());
       return EXIT_USAGE;
     }
+    try {
+      return run(deployment);
+    } catch (IllegalStateException e) {
+      System.err.println("error internal: " + e.getMessage());
+      return EXIT_NOT_CLEAN;
+    }
+  }
+
+  private int run(Deployment deployment) throws InterruptedException {
     System.err.println("starting " + deployment.name() + ", logs in " + runDirectory);
     try (Launcher launcher = Launcher.start(deployment, options())) {
       Runtime.getRuntime().addShutdownHook(new Thread(launcher::close));
