Wait for the configuration before a node is ready

Cause: a node printed its ready line and answered /readyz with 200 before it had learned the configuration, and showed version 0 to whoever asked. Before: PlatformOutageTest#freshNodeStartsWithThePlatformOut failed with 'a node went back', version 14 then 0. The node is now ready once it knows the accepted configuration from the table or a peer; SIGTERM works meanwhile.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
@@ -33,6 +33,7 @@
  */
 final class Node {
   private static final System.Logger LOG = System.getLogger(Node.class.getName());
+  private static final int READY_POLL_MS = 5_000;
   private static final int LEAVE_SPREAD_MS = 1_500;
   private static final int IDLE_GRACE_MS = 300;
   private static final int HAND_BACK_TIMEOUT_MS = 5_000;
@@ -129,7 +130,7 @@
         OperatorApi.builder()
             .configuration(controlState.configurationService())
             .metrics(metrics::scrape)
-            .ready(() -> !stopping)
+            .ready(this::isReady)
             .token(token == null ? null : new String(token, StandardCharsets.UTF_8))
             .build();
     api.register(new DumpSource("control", controlState::lastControlDump));
@@ -145,6 +146,19 @@
     }
   }
 
+  /** Returns whether the node knows the configuration and is not stopping. */
+  private boolean isReady() {
+    return !stopping && controlState.configurationService().isLoaded();
+  }
+
+  /** Waits until the node takes new work; returns false when it is stopped first. */
+  boolean awaitReady() {
+    while (!Waiting.until(READY_POLL_MS, () -> stopping || isReady())) {
+      LOG.log(System.Logger.Level.WARNING, LogEvent.of("configuration-awaited"));
+    }
+    return !stopping;
+  }
+
   /** Returns the ports that the node listens on. */
   ObjectNode addresses() {
     return Json.object()
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Sycamoretrackd.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Sycamoretrackd.java
@@ -92,8 +92,7 @@
     Node node;
     try {
       node = Node.start(settings);
-      announce(node, out);
-    } catch (RuntimeException | IOException e) {
+    } catch (RuntimeException e) {
       LOG.log(System.Logger.Level.ERROR, "start-failed", e);
       return EXIT_FAILED;
     }
@@ -107,11 +106,20 @@
             },
             "stop");
     Runtime.getRuntime().addShutdownHook(hook);
+    try {
+      announce(node, out);
+    } catch (IOException e) {
+      LOG.log(System.Logger.Level.ERROR, "start-failed", e);
+      return EXIT_FAILED;
+    }
     awaitUninterruptibly(stopped);
     return 0;
   }
 
   private void announce(Node node, PrintStream out) throws IOException {
+    if (!node.awaitReady()) {
+      return;
+    }
     ObjectNode line = node.addresses().put("event", "ready");
     out.println(line);
     out.flush();
--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/KeyedCallTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/KeyedCallTest.java
@@ -46,6 +46,7 @@
     }
   }
 
+  /** All nodes die, since any of them may be the owner of the claim. */
   @ParameterizedTest
   @EnumSource(names = {"OUTAGE", "SLOW"})
   void bookingAfterItsFirstNodeDiedBetweenClaimAndAnswerDoesNotRunAgain(FaultKind kind) {
@@ -61,9 +62,9 @@
       SystemRun.await(
           "the endpoint's first sight of the booking",
           () -> run.endpoints(SERVICE).stream().anyMatch(e -> run.faultCount(e.address()) > 0));
-      run.launcher().killNode(first.nodeId());
+      run.restartAllNodes();
       assertThat(lost.handle((answer, failure) -> true).join()).isTrue();
-      for (int i = 0; i < 3; i++) {
+      for (int i = 0; i < 4; i++) {
         HttpAnswer answer = run.book(run.node(i), SLOW_BOOKING, "family-2").join();
         assertThat(code(answer)).as(answer.json().toString()).isEqualTo("claim-unsettled");
         assertThat(outcome(answer)).isEqualTo("unknown");
@@ -118,8 +119,9 @@
       CompletableFuture<HttpAnswer> lost = run.book(first, SLOW_BOOKING, "family-5");
       SystemRun.await(
           "a lost answer", () -> run.faultCount(run.launcher().platform()) > 0 || lost.isDone());
-      run.launcher().killNode(first.nodeId());
+      run.killAllNodes();
       run.clearFaults(run.launcher().platform());
+      run.launcher().startNodes(run.launcher().nodeIds());
       assertThat(lost.handle((answer, failure) -> true).join()).isTrue();
       SystemRun.await(
           "an answer that settles the booking",
--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.sycamoretrack.standins.driver.CallerReport;
@@ -271,13 +272,33 @@
     assertThat(call("POST", engine.address(), "/orders", order).status()).isEqualTo(202);
   }
 
-  /** Returns the node that owns the step under way. */
+  /** Kills all nodes at once. */
+  void killAllNodes() {
+    launcher.nodeIds().forEach(launcher::killNode);
+  }
+
+  /** Kills all nodes at once and starts others of the same names. */
+  void restartAllNodes() {
+    killAllNodes();
+    launcher.startNodes(launcher.nodeIds());
+  }
+
+  /** Returns the node that owns the step under way, as soon as one shows it. */
   String stepOwner() {
-    return context().balancer().nodes().stream()
-        .filter(n -> !call("GET", n.operator(), "/state", null).json().path("steps").isEmpty())
-        .map(NodeAddress::nodeId)
-        .findFirst()
-        .orElseThrow();
+    AtomicReference<String> owner = new AtomicReference<>();
+    await("the owner of the step", () -> findStepOwner(owner));
+    return owner.get();
+  }
+
+  private boolean findStepOwner(AtomicReference<String> owner) {
+    for (NodeAddress node : context().balancer().nodes()) {
+      JsonNode state = call("GET", node.operator(), "/state", null).json();
+      if (!state.path("requests").path("steps").isEmpty()) {
+        owner.set(node.nodeId());
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the number of polls that the trainer has abandoned. */
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartReport.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartReport.java
@@ -1,5 +1,6 @@
 package org.sycamoretrack.standins.driver;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
 
 /**
@@ -45,6 +46,7 @@
   }
 
   /** Returns whether everything arrived as it should. */
+  @JsonIgnore
   public boolean isClean() {
     int faults = duplicates + missing + stale + wrongVersion + interactiveFailed;
     return faults == 0 && samplesDelivered == samplesExpected && interactiveRequests > 0;
