--- a/standins/src/test/java/org/sycamoretrack/standins/driver/DriverTest.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/driver/DriverTest.java
@@ -137,20 +137,22 @@
 
   @ParameterizedTest
   @CsvSource({
-    "completion, CUT_TEXT, 1, 0",
-    "lookup, WRONG_TEXT, 1, 0",
-    "booking, WRONG_TEXT, 1, 0",
-    "lookup, REFUSED_NOT_RUN, 0, 1",
-    "booking, REFUSED_NOT_RUN, 0, 1",
-    "lookup, BROKEN, 0, 1",
-    "booking, BROKEN, 0, 1",
-    "booking, REFUSED_UNKNOWN, 0, 1"
+    "completion, CUT_TEXT, 1, 0, 0",
+    "lookup, WRONG_TEXT, 1, 0, 0",
+    "booking, WRONG_TEXT, 1, 0, 0",
+    "lookup, REFUSED_NOT_RUN, 0, 0, 1",
+    "booking, REFUSED_NOT_RUN, 0, 0, 1",
+    "lookup, BROKEN, 0, 0, 1",
+    "booking, BROKEN, 0, 0, 1",
+    "booking, REFUSED_UNKNOWN, 0, 0, 1",
+    "booking, CLAIM_UNSETTLED, 0, 1, 0"
   })
-  void callerCounts(CallerKind kind, FakeNode.Fault fault, int failed, int retries) {
+  void callerCounts(CallerKind kind, FakeNode.Fault fault, int failed, int unsettled, int retries) {
     try (FakeNode node = new FakeNode(group, fault, 1)) {
       DriverContext context = context(node.address("n1", "svea-a"));
       CallerReport report = call(context, kind, 4);
       assertThat(report.failed()).isEqualTo(failed);
+      assertThat(report.unsettled()).isEqualTo(unsettled);
       assertThat(report.retries()).isEqualTo(retries);
       assertThat(context.history().all(RequestSent.class))
           .hasSize(report.requests() + retries)
--- a/standins/src/test/java/org/sycamoretrack/standins/driver/FakeNode.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/driver/FakeNode.java
@@ -31,7 +31,8 @@
     WRONG_TEXT,
     CUT_TEXT,
     REFUSED_NOT_RUN,
-    REFUSED_UNKNOWN
+    REFUSED_UNKNOWN,
+    CLAIM_UNSETTLED
   }
 
   private final HttpServer server;
@@ -67,6 +68,7 @@
       case SERVER_ERROR -> exchange.respond(error(500, "internal", "unknown"));
       case REFUSED_NOT_RUN -> exchange.respond(error(429, "overloaded", "not-run"));
       case REFUSED_UNKNOWN -> exchange.respond(error(502, "endpoint-failed", "unknown"));
+      case CLAIM_UNSETTLED -> exchange.respond(error(409, "claim-unsettled", "unknown"));
       case BROKEN -> exchange.abort();
       case SILENT -> {
         // the caller gives up
