--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartReport.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartReport.java
@@ -1,5 +1,6 @@
 package org.sycamoretrack.standins.driver;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
 
 /**
@@ -40,11 +41,12 @@
         sum.stale(),
         sum.wrongVersion() + untrue,
         callers.stream().mapToInt(CallerReport::requests).sum(),
-        callers.stream().mapToInt(CallerReport::failed).sum(),
+        callers.stream().mapToInt(call -> call.failed() + call.unsettled()).sum(),
         elapsedMs);
   }
 
   /** Returns whether everything arrived as it should. */
+  @JsonIgnore
   public boolean isClean() {
     int faults = duplicates + missing + stale + wrongVersion + interactiveFailed;
     return faults == 0 && samplesDelivered == samplesExpected && interactiveRequests > 0;
