Let limits grow that the reserve for short work keeps from being full

The state dump showed limits of 2 with 1 running and 28 samples queued on two of eight engines: rollout work may use three quarters of a limit (half of 2), but a limit grew only when 80 % of it was used, so one that had fallen never rose. Ruled out: ejection (those engines were in use), stragglers (they had no free slots to be moved from). Change: half of the limit in use counts as used. Run: the new test fails for both variants with 80 %, passes with 50 %; ConcurrencyLimitTest 16 of 16.

--- a/core/src/main/java/org/sycamoretrack/core/request/AimdLimit.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/AimdLimit.java
@@ -11,7 +11,9 @@
  */
 final class AimdLimit implements ConcurrencyLimit {
   private static final double DECREASE = 0.9;
-  private static final double USED_SHARE = 0.8;
+
+  /** Below 1, since a reserve for short work keeps rollout work below the limit. */
+  private static final double USED_SHARE = 0.5;
 
   private final LimitSettings settings;
   private final TokenTimeWindow window = new TokenTimeWindow();
--- a/core/src/main/java/org/sycamoretrack/core/request/GradientLimit.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/GradientLimit.java
@@ -16,7 +16,9 @@
   private static final double SMOOTHING = 0.2;
   private static final double MIN_GRADIENT = 0.5;
   private static final double DROP_DECREASE = 0.9;
-  private static final double USED_SHARE = 0.8;
+
+  /** Below 1, since a reserve for short work keeps rollout work below the limit. */
+  private static final double USED_SHARE = 0.5;
 
   private final LimitSettings settings;
   private final TokenTimeWindow window = new TokenTimeWindow();
--- a/core/src/test/java/org/sycamoretrack/core/request/ConcurrencyLimitTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/request/ConcurrencyLimitTest.java
@@ -46,6 +46,24 @@
     assertThat(limit.limit()).isLessThan(8);
   }
 
+  @ParameterizedTest
+  @MethodSource("limits")
+  void growsThoughTheReserveKeepsRolloutWorkBelowIt(ConcurrencyLimit limit) {
+    AdmissionQueue<Object> queue = AdmissionQueue.builder().build();
+    while (limit.limit() > SETTINGS.min()) {
+      limit.onStart();
+      limit.onDropped();
+    }
+    for (int i = 0; i < 5_000; i++) {
+      int usable = Math.max(1, limit.limit() - queue.reservedSlots(limit.limit()));
+      while (limit.inFlight() < usable) {
+        limit.onStart();
+      }
+      limit.onSuccess((long) (BASE_NS * 10), 10);
+    }
+    assertThat(limit.limit()).isGreaterThan(50);
+  }
+
   @ParameterizedTest
   @MethodSource("limits")
   void fallsWhenTheEndpointSlowsAndComesBack(ConcurrencyLimit limit) {
