--- a/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/QuickstartCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import org.sycamoretrack.standins.process.Command;
 import org.sycamoretrack.standins.process.Standins;
 
@@ -45,6 +46,15 @@
       System.err.println("error invalid-request: " + e.getMessage());
       return EXIT_USAGE;
     }
+    try {
+      return run(deployment);
+    } catch (IllegalStateException e) {
+      System.err.println("error internal: " + e.getMessage());
+      return EXIT_NOT_CLEAN;
+    }
+  }
+
+  private int run(Deployment deployment) throws InterruptedException {
     System.err.println("starting " + deployment.name() + ", logs in " + runDirectory);
     try (Launcher launcher = Launcher.start(deployment, options())) {
       Runtime.getRuntime().addShutdownHook(new Thread(launcher::close));
@@ -52,9 +62,9 @@
         AddressLines.of(launcher.context()).forEach(Standins::printLine);
         Standins.serve();
       }
-      QuickstartReport report = new Quickstart(launcher, System.err::println).run();
-      Standins.printLine(report);
-      return report.isClean() ? 0 : EXIT_NOT_CLEAN;
+      Quickstart quickstart = new Quickstart(launcher, System.err::println);
+      Standins.printLine(quickstart.run());
+      return quickstart.isClean() ? 0 : EXIT_NOT_CLEAN;
     }
   }
 
@@ -65,6 +75,7 @@
         List.of(java, "-Xmx256m", "-XX:+UseSerialGC", "-jar", standinsJar),
         Path.of(runDirectory),
         List.of(),
-        List.of());
+        List.of(),
+        Map.of());
   }
 }
