--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/OverheadMeasure.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/OverheadMeasure.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
@@ -112,7 +113,8 @@
         standin,
         runDirectory(),
         List.of(),
-        List.of("--tokens-per-chunk", TOKENS_PER_CHUNK, "--prefill-time-us", "0"));
+        List.of("--tokens-per-chunk", TOKENS_PER_CHUNK, "--prefill-time-us", "0"),
+        Map.of());
   }
 
   private static Path runDirectory() {
