Send everything only to nodes that know hardly anybody

Each side of each new connection sent all that it knew. It now asks for everything only while it knows at most four members; others state themselves, and digests mend the rest.

--- a/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
+++ b/benchmarks/src/main/java/org/sycamoretrack/bench/process/Bench.java
@@ -20,8 +20,7 @@
           new CapacityMeasure());
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(
-      description = "NAME... (admission, selection, stragglers, overhead, capacity or all)")
+  @Parameter(description = "NAME... (admission, selection, stragglers, overhead, capacity or all)")
   private List<String> names = new ArrayList<>();
 
   @Parameter(names = "--seed", description = "seed of all chance")
--- a/core/src/main/java/org/sycamoretrack/core/process/Membership.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/Membership.java
@@ -46,6 +46,10 @@
   private static final int MAX_NEWS_ON_PROBE = 6;
   private static final int MAX_NEWS_IN_GOSSIP = 24;
   private static final int ZONE_FANOUT = 2;
+
+  /** The size up to which a membership is filled by snapshots from every node that is met. */
+  private static final int SNAPSHOT_SIZE = 4;
+
   private static final long DIGEST_MS_PER_MEMBER = 100;
 
   private final MembershipTimings timings;
@@ -135,17 +139,26 @@
   }
 
   /**
-   * Takes in a node that was met on a connection, and exchanges with it all that is known.
+   * Takes in a node that was met on a connection. A node that knows hardly anybody asks for all
+   * that the other knows; one that knows many states itself only, since a new node meets all of
+   * them.
    *
    * @param met the record that it introduced itself with
    * @param nowMs the present time in milliseconds
    * @return messages to send
    */
   public List<Envelope> onPeerMet(Member met, long nowMs) {
-    if (table.get(met.nodeId()) == null) {
+    Member known = table.get(met.nodeId());
+    if (known == null) {
       table.merge(met, nowMs);
     }
-    send(met.nodeId(), new Snapshot(table.all(), true));
+    if (table.size() <= SNAPSHOT_SIZE) {
+      send(met.nodeId(), new Snapshot(table.all(), true));
+    } else if (known != null && !isPresent(known)) {
+      send(met.nodeId(), new Digest(table.digest()));
+    } else {
+      send(met.nodeId(), new Gossip(List.of(table.self())));
+    }
     return takeOut();
   }
 
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/MembershipTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/MembershipTest.java
@@ -172,4 +172,24 @@
 
     assertThat(tookMs).isLessThan(7_000);
   }
+
+  @Test
+  void aNewNodeThatMeetsAllOthersCostsEachOfThemLittle() {
+    network.startAll(150);
+    network.run(10_000);
+    network.bytesSent.clear();
+    String fresh = nodeId(150);
+    network.start(fresh, "svea-a", 1);
+    for (int i = 0; i < 150; i++) {
+      network.meet(fresh, nodeId(i));
+      network.meet(nodeId(i), fresh);
+      network.run(50);
+    }
+
+    assertThat(allSeeAll()).isTrue();
+    long total = network.bytesSent.values().stream().mapToLong(Long::longValue).sum();
+    System.out.printf("joinBytes=%d fresh=%d%n", total, network.bytesSent.get(fresh));
+    assertThat(network.bytesSent.get(fresh)).isLessThan(200_000);
+    assertThat(total / 150).isLessThan(50_000);
+  }
 }
