Back off while a key range can't be taken

A node that wants ranges whose owners are alive and do not give them back, or that can't reach the table service, read two rows each 250 ms for each range: up to 512 reads a second for 64 ranges, a quarter of the platform's budget. The wait now doubles up to 2 s, 64 reads a second, and starts anew when the range is owned or no longer wanted. A test counts the reads.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
@@ -41,6 +41,7 @@
  */
 final class ClaimRange {
   private static final int SCAN_LIMIT = 32;
+  private static final int MAX_BACKOFF_SHIFT = 3;
   private static final int MAX_WAITING = 256;
   private static final int MAX_DELETED_AT_ONCE = 8;
 
@@ -71,6 +72,7 @@
   private long nextAttemptMs = Long.MIN_VALUE;
   private long drainingSinceMs;
   private long lastWriteMs;
+  private int backoffShift;
   private boolean mayOwn;
   private long takenVersion;
   private boolean tableDown;
@@ -106,6 +108,9 @@
     expireWaiting(nowMs);
     switch (phase) {
       case UNOWNED -> {
+        if (!wanted) {
+          backoffShift = 0;
+        }
         if ((mayOwn || (wanted && leaseHeld)) && nowMs >= nextAttemptMs) {
           take();
         }
@@ -227,11 +232,15 @@
     retryLater();
   }
 
+  /**
+   * Tries again after twice the time of the try before, so that waiting for an owner costs little.
+   */
   private void retryLater() {
     phase = Phase.UNOWNED;
     owner = null;
     ledger = null;
-    nextAttemptMs = context.nowMs() + context.times().retryMs();
+    nextAttemptMs = context.nowMs() + (context.times().retryMs() << backoffShift);
+    backoffShift = Math.min(backoffShift + 1, MAX_BACKOFF_SHIFT);
     if (tableDown) {
       refuseAllWaiting();
     }
@@ -277,6 +286,7 @@
 
   private void onOwned() {
     phase = Phase.OWNED;
+    backoffShift = 0;
     tableDown = false;
     lastWriteMs = context.nowMs();
     context.log("claim-range-taken", name, null);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTimes.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTimes.java
@@ -3,7 +3,8 @@
 /**
  * The durations of the claim service, in milliseconds.
  *
- * @param retryMs the time until a failed call of the table service is tried again
+ * @param retryMs the time until a failed call of the table service is tried again; doubled up to
+ *     eight times it while a range can't be taken
  * @param waitMs the longest time that a claim waits for its range to be taken, or for the answer of
  *     the same call that runs already
  * @param settleLingerMs the longest time that a recorded answer waits for others to be written with
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangeTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangeTest.java
@@ -314,4 +314,18 @@
         .isEqualTo(new ClaimDecision.Answered(ClaimNode.answer("running")));
     assertThat(a.range.isUnowned()).isTrue();
   }
+
+  @Test
+  void liveOwnerIsAskedLessAndLessOften() {
+    b.alive = Set.of("a", "b");
+    b.wanted = true;
+    int reads = 0;
+    for (long endMs = nowMs + 10 * ClaimNode.TIMES.waitMs(); nowMs < endMs; nowMs++) {
+      b.poll();
+      reads += b.calls().size();
+      b.settleDown();
+    }
+    assertThat(b.range.isOwned()).isFalse();
+    assertThat(reads).isBetween(100, 10_000 / (8 * (int) ClaimNode.TIMES.retryMs()) + 10);
+  }
 }
