--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/NodeLimits.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/NodeLimits.java
@@ -12,7 +12,6 @@
  * @param streamIdleTimeoutMs longest pause of an endpoint within an answer
  * @param defaultDeadlineMs deadline of requests that bring none
  * @param stopTimeoutMs longest time that a graceful stop waits for requests in flight
- * @param leaseMs time that a node's lease lasts after a renewal
  * @param endpointQueue most requests that wait for one endpoint
  * @param maxEndpointConcurrency most requests in flight at one endpoint
  * @param maxOpenSteps most steps that the node owns at a time
@@ -27,7 +26,6 @@
     int streamIdleTimeoutMs,
     int defaultDeadlineMs,
     int stopTimeoutMs,
-    int leaseMs,
     int endpointQueue,
     int maxEndpointConcurrency,
     int maxOpenSteps,
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/SettingsReaderTest.java
@@ -48,8 +48,8 @@
           /callerAddress     | "localhost:80"   | /callerAddress
           /callerAddress     | "10.0.0.999:80"  | 10.0.0.999:80
           /platform          | {}               | /platform
-          /limits            | {"leaseMs": 1}   | /limits/leaseMs
-          /limits            | {"leaseMs": 1.5} | /limits/leaseMs
+          /limits            | {"connectTimeoutMs": 1}   | /limits/connectTimeoutMs
+          /limits            | {"connectTimeoutMs": 1.5} | /limits/connectTimeoutMs
           /limits            | {"oops": 1}      | oops
           /unknown           | true             | unknown
           /peers             | ["x"]            | /peers/0
