Freeze a node past the lease that it really has

Cause: the system tests set leaseMs to 4 s, which no part read; the test that freezes a node for 8 s and is named 'past its lease' therefore never froze it past its lease of 15 s. Change: it freezes for the takeover time and 2 s more (20 s).

--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/NodeFailureTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/NodeFailureTest.java
@@ -6,10 +6,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.process.LeaseTimes;
 
 /** Nodes that stop, die, freeze and come back under a trainer and callers. */
 class NodeFailureTest {
-  private static final int FREEZE_MS = 2 * SystemRun.LEASE_MS;
+  private static final long FREEZE_MS = LeaseTimes.DEFAULT.takeOverAfterMs() + 2_000;
 
   @Test
   void allNodesRestartedOneAfterTheOtherInTheMiddleOfAStep() {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/system/SystemRun.java
@@ -53,8 +53,6 @@
   static final String SCORER = "scoring";
   static final String TRACK = "cut-patterns";
 
-  static final int LEASE_MS = 4_000;
-
   /** Bookings that a node can have in flight when it dies, at the pace of the callers. */
   private static final int MAX_UNSETTLED = 5;
 
@@ -92,7 +90,7 @@
             Path.of("target", "system", testName),
             List.of(platformOptions),
             List.of("--max-batch", "32"),
-            Map.of("leaseMs", LEASE_MS));
+            Map.of());
     return new SystemRun(Launcher.start(deployment(), options));
   }
 
