Tell polls that were not sent from polls that were cut off; log unsettled claims

Cause: a trainer that stayed with a stopping node had its next connection refused, which the history called broken, and the checker took for a poll cut off by a planned stop (one violation in a rolling restart). No byte of such a poll can have reached the node; requests were told apart already, polls were not. Also: a keyed call that is answered claim-unsettled, or whose outcome is unknown, is logged with its key.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/KeyedCalls.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/KeyedCalls.java
@@ -9,6 +9,7 @@
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpExchange;
 
@@ -23,6 +24,8 @@
  * <p>Thread-safe.
  */
 final class KeyedCalls {
+  private static final System.Logger LOG = System.getLogger(KeyedCalls.class.getName());
+
   /** The name of this interface on the peer link. */
   static final String PEER_API = "keyed";
 
@@ -151,11 +154,15 @@
     return switch (decision) {
       case ClaimDecision.Run run -> runClaimed(operation);
       case ClaimDecision.Answered answered -> repeat(answered.answer());
-      case ClaimDecision.Unsettled unsettled ->
-          failed(
-              ErrorCode.CLAIM_UNSETTLED,
-              Outcome.UNKNOWN,
-              "the call was claimed before and its outcome is not recorded");
+      case ClaimDecision.Unsettled unsettled -> {
+        LOG.log(
+            System.Logger.Level.WARNING,
+            LogEvent.of("claim-unsettled").with("key", operation.key()));
+        yield failed(
+            ErrorCode.CLAIM_UNSETTLED,
+            Outcome.UNKNOWN,
+            "the call was claimed before and its outcome is not recorded");
+      }
       case ClaimDecision.KeyReused reused ->
           failed(ErrorCode.KEY_REUSED, Outcome.NOT_RUN, "the key was used before for another call");
       case ClaimDecision.Refused refused ->
@@ -188,6 +195,11 @@
               } else if (ErrorAnswers.toError(failure).outcome() == Outcome.NOT_RUN) {
                 claims.release(operation.key());
               } else {
+                LOG.log(
+                    System.Logger.Level.WARNING,
+                    LogEvent.of("call-outcome-unknown")
+                        .with("key", operation.key())
+                        .with("reason", ErrorAnswers.toError(failure).getMessage()));
                 claims.leaveUnsettled(operation.key());
               }
             });
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
@@ -165,11 +165,18 @@
       return onAnswer(pollId, context.call(request, node, trainer.zone()));
     } catch (HttpFailure e) {
       boolean abandoned = e.kind() == HttpFailure.Kind.TIMED_OUT;
-      end(pollId, abandoned ? PollEnd.ABANDONED : PollEnd.BROKEN);
+      end(pollId, endOf(e));
       return abandoned && impatient ? PollResult.ABANDONED : PollResult.NODE_FAILED;
     }
   }
 
+  private static PollEnd endOf(HttpFailure failure) {
+    if (failure.kind() == HttpFailure.Kind.TIMED_OUT) {
+      return PollEnd.ABANDONED;
+    }
+    return failure.maybeSent() ? PollEnd.BROKEN : PollEnd.NOT_SENT;
+  }
+
   private ObjectNode pollBody() {
     return Json.object()
         .put("received", Base64.getEncoder().encodeToString(received.toByteArray()))
--- a/standins/src/main/java/org/sycamoretrack/standins/history/HistoryRecord.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/history/HistoryRecord.java
@@ -45,7 +45,9 @@
     ABANDONED,
     /** It got an error answer. */
     REFUSED,
-    /** Its connection failed. */
+    /** No byte of it can have reached the node. */
+    NOT_SENT,
+    /** Its connection failed after a byte of it may have reached the node. */
     BROKEN
   }
 
