Join the writes of a stream into fewer flushes

Cause: each chunk of a stream was flushed by itself, a system call for each of 15 chunks of a call. Change: flushes within one turn of an event loop are joined, at most 64 writes.

--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -26,6 +27,7 @@
 public final class HttpServer implements AutoCloseable {
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
   private static final int ACCEPT_BACKLOG = 1_024;
+  private static final int MAX_WRITES_PER_FLUSH = 64;
 
   private final Channel channel;
   private final ChannelGroup connections;
@@ -183,6 +185,7 @@
                     protected void initChannel(SocketChannel ch) {
                       connections.add(ch);
                       ch.pipeline()
+                          .addLast(new FlushConsolidationHandler(MAX_WRITES_PER_FLUSH, true))
                           .addLast(new HttpServerCodec(config))
                           .addLast(new ServerConnection(state));
                     }
