Count a limit as used when rollout work has all that the reserve leaves it

Cause: half of the limit in use was looser than needed; three quarters, rounded down, is just what the reserve leaves to rollout work.

--- a/core/src/main/java/org/sycamoretrack/core/request/AimdLimit.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/AimdLimit.java
@@ -12,8 +12,8 @@
 final class AimdLimit implements ConcurrencyLimit {
   private static final double DECREASE = 0.9;
 
-  /** Below 1, since a reserve for short work keeps rollout work below the limit. */
-  private static final double USED_SHARE = 0.5;
+  /** What the reserve for short work leaves to rollout work, rounded down. */
+  private static final double USED_SHARE = 0.75;
 
   private final LimitSettings settings;
   private final TokenTimeWindow window = new TokenTimeWindow();
@@ -71,7 +71,7 @@
   private void adapt() {
     if (window.slowdown() > settings.tolerance()) {
       limit = settings.clamp(limit * DECREASE);
-    } else if (window.peakInFlight() >= limit() * USED_SHARE) {
+    } else if (window.peakInFlight() >= (int) (limit() * USED_SHARE)) {
       limit = settings.clamp(limit + 1);
     }
   }
--- a/core/src/main/java/org/sycamoretrack/core/request/GradientLimit.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/GradientLimit.java
@@ -17,8 +17,8 @@
   private static final double MIN_GRADIENT = 0.5;
   private static final double DROP_DECREASE = 0.9;
 
-  /** Below 1, since a reserve for short work keeps rollout work below the limit. */
-  private static final double USED_SHARE = 0.5;
+  /** What the reserve for short work leaves to rollout work, rounded down. */
+  private static final double USED_SHARE = 0.75;
 
   private final LimitSettings settings;
   private final TokenTimeWindow window = new TokenTimeWindow();
@@ -75,7 +75,7 @@
 
   private void adapt() {
     double gradient = Math.max(MIN_GRADIENT, Math.min(1, settings.tolerance() / window.slowdown()));
-    boolean grow = gradient == 1 && window.peakInFlight() >= limit() * USED_SHARE;
+    boolean grow = gradient == 1 && window.peakInFlight() >= (int) (limit() * USED_SHARE);
     double target = limit * gradient + (grow ? Math.sqrt(limit) : 0);
     limit = settings.clamp(limit + SMOOTHING * (target - limit));
   }
