Keep what both concurrency limits share in one class

Cause: the AIMD and the gradient limit were the same class but for one formula; the fault of limits that could not rise stood in both and had to be mended in both. Change: WindowedLimit holds window, requests in flight and the test of use; each variant is its formula. Behaviour stays as it was.

--- a/core/src/main/java/org/sycamoretrack/core/request/ConcurrencyLimit.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/ConcurrencyLimit.java
@@ -11,7 +11,7 @@
  *
  * <p>For plain services, give 1 as the number of tokens.
  */
-public sealed interface ConcurrencyLimit permits AimdLimit, GradientLimit {
+public sealed interface ConcurrencyLimit permits WindowedLimit {
   /** Notes that a request starts. */
   void onStart();
 
