--- a/cli/src/test/java/org/sycamoretrack/cli/process/OperatorFixture.java
+++ b/cli/src/test/java/org/sycamoretrack/cli/process/OperatorFixture.java
@@ -16,7 +16,7 @@
 import org.sycamoretrack.core.process.MemberState;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
-import org.sycamoretrack.daemon.platform.HttpTableStore;
+import org.sycamoretrack.daemon.farend.HttpTableStore;
 import org.sycamoretrack.daemon.process.ControlAgent;
 import org.sycamoretrack.daemon.process.MembershipService;
 import org.sycamoretrack.daemon.process.OperatorApi;
--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
@@ -0,0 +1,157 @@
+package org.sycamoretrack.core.connection;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+
+/**
+ * Counts the slots of endpoints that this node and others use, and how fast the endpoints work.
+ *
+ * <p>An endpoint has no priorities and admits in order of arrival, so work that it can't begin is
+ * better kept here, where another endpoint may still take it. The load of other nodes is what the
+ * endpoint reported with an answer, less what this node had there at that moment; it is believed
+ * for {@value #REPORT_VALID_MS} ms. An endpoint that refused gets no work for a pause.
+ *
+ * <p>Speed is the smoothed time between two events of a text, compared with the median of all
+ * endpoints that made events lately.
+ *
+ * <p>Not thread-safe. Times are milliseconds of one monotonic clock.
+ */
+public final class SlotLedger {
+  /** Others' batches run for about a second, so an older report says nothing. */
+  private static final long REPORT_VALID_MS = 1_000;
+
+  /** Weight of the newest interval in the smoothed one: half of the memory is 4 events long. */
+  private static final double PACE_SMOOTHING = 0.16;
+
+  /** A pace without a new event for this long says nothing about the endpoint now. */
+  private static final long PACE_VALID_MS = 3_000;
+
+  private final Map<String, Usage> usages = new HashMap<>();
+
+  /** Creates an empty ledger. */
+  public SlotLedger() {}
+
+  /** Notes that a request was sent to an endpoint. */
+  public void onSent(String endpointId) {
+    usage(endpointId).own++;
+  }
+
+  /** Notes that a request at an endpoint ended. */
+  public void onEnded(String endpointId) {
+    Usage usage = usage(endpointId);
+    usage.own = Math.max(0, usage.own - 1);
+  }
+
+  /**
+   * Notes the load that an endpoint reported.
+   *
+   * @param endpointId the endpoint
+   * @param running the requests that it works on
+   * @param waiting the requests in its queue
+   * @param nowMs the time now
+   */
+  public void onReport(String endpointId, int running, int waiting, long nowMs) {
+    Usage usage = usage(endpointId);
+    usage.others = Math.max(0, running + waiting - usage.own);
+    usage.reportedAtMs = nowMs;
+  }
+
+  /**
+   * Notes that an endpoint refused a request or could not be reached.
+   *
+   * @param endpointId the endpoint
+   * @param untilMs the time until which it gets no work
+   */
+  public void onRefused(String endpointId, long untilMs) {
+    Usage usage = usage(endpointId);
+    usage.pausedUntilMs = Math.max(usage.pausedUntilMs, untilMs);
+  }
+
+  /**
+   * Notes the time between two events of a text.
+   *
+   * @param endpointId the endpoint
+   * @param intervalMs the time between them
+   * @param nowMs the time now
+   */
+  public void onEvent(String endpointId, double intervalMs, long nowMs) {
+    Usage usage = usage(endpointId);
+    boolean fresh = nowMs - usage.paceAtMs <= PACE_VALID_MS;
+    usage.paceMs = fresh ? usage.paceMs + PACE_SMOOTHING * (intervalMs - usage.paceMs) : intervalMs;
+    usage.paceAtMs = nowMs;
+  }
+
+  /** Returns whether an endpoint may get work now. */
+  public boolean isPaused(String endpointId, long nowMs) {
+    return usage(endpointId).pausedUntilMs > nowMs;
+  }
+
+  /** Returns how many requests of this node an endpoint has. */
+  public int own(String endpointId) {
+    return usage(endpointId).own;
+  }
+
+  /**
+   * Returns the requests at an endpoint, of this node and of others.
+   *
+   * @param endpointId the endpoint
+   * @param nowMs the time now
+   */
+  public int load(String endpointId, long nowMs) {
+    Usage usage = usage(endpointId);
+    boolean valid = usage.reportedAtMs > 0 && nowMs - usage.reportedAtMs <= REPORT_VALID_MS;
+    return usage.own + (valid ? usage.others : 0);
+  }
+
+  /**
+   * Returns the number of free slots.
+   *
+   * @param endpoint the endpoint
+   * @param nowMs the time now
+   */
+  public int free(Endpoint endpoint, long nowMs) {
+    return Math.max(0, endpoint.slots() - load(endpoint.id(), nowMs));
+  }
+
+  /**
+   * Returns how much slower an endpoint is than the median.
+   *
+   * @param endpointId the endpoint
+   * @param nowMs the time now
+   * @return 1 for the median and for an endpoint that was not measured lately
+   */
+  public double slowness(String endpointId, long nowMs) {
+    Usage usage = usage(endpointId);
+    double median = medianPaceMs(nowMs);
+    if (median <= 0 || nowMs - usage.paceAtMs > PACE_VALID_MS) {
+      return 1;
+    }
+    return usage.paceMs / median;
+  }
+
+  private double medianPaceMs(long nowMs) {
+    double[] paces =
+        usages.values().stream()
+            .filter(usage -> usage.paceAtMs > 0 && nowMs - usage.paceAtMs <= PACE_VALID_MS)
+            .mapToDouble(usage -> usage.paceMs)
+            .toArray();
+    Arrays.sort(paces);
+    return paces.length == 0 ? 0 : paces[(paces.length - 1) / 2];
+  }
+
+  private Usage usage(String endpointId) {
+    return usages.computeIfAbsent(endpointId, any -> new Usage());
+  }
+
+  /** What is known of one endpoint. */
+  private static final class Usage {
+    private int own;
+    private int others;
+    private long reportedAtMs;
+    private long pausedUntilMs;
+    private double paceMs;
+    private long paceAtMs;
+  }
+}
--- a/core/src/main/java/org/sycamoretrack/core/process/RendezvousHash.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/RendezvousHash.java
@@ -38,7 +38,13 @@
     return Optional.ofNullable(best);
   }
 
-  private static long score(String key, String nodeId) {
+  /**
+   * Returns the weight of a node for a key.
+   *
+   * @param key the key
+   * @param nodeId the node
+   */
+  public static long score(String key, String nodeId) {
     byte[] bytes = (key + '\0' + nodeId).getBytes(StandardCharsets.UTF_8);
     return MurmurHash3.hash128x64(bytes)[0];
   }
--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/version/routing/Manifest.java
@@ -0,0 +1,84 @@
+package org.sycamoretrack.core.version.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of a deployment's routes and services. Immutable.
+ *
+ * <p>A request belongs to the route of its host with the longest prefix that begins its path.
+ * Prefixes end with a slash, so the routes of a host are kept in a map by prefix, and a path is cut
+ * back slash by slash until a prefix is found: the cost of a lookup grows with the path's depth and
+ * not with the number of routes.
+ *
+ * <p>Example: with the prefixes {@code /a/} and {@code /a/b/}, the path {@code /a/b/c} is looked up
+ * as {@code /a/b/}, and {@code /a/x/y} as {@code /a/x/}, then {@code /a/}.
+ */
+public final class Manifest {
+  private final long version;
+  private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceSpec> services = new HashMap<>();
+  private final long idleTimeoutMs;
+
+  /**
+   * Creates a manifest.
+   *
+   * @param version its version; a larger one replaces a smaller one
+   * @param routes the routes
+   * @param services the services
+   * @param idleTimeoutMs how long a caller's connection may be idle, in milliseconds
+   */
+  public Manifest(
+      long version, List<Route> routes, List<ServiceSpec> services, long idleTimeoutMs) {
+    this.version = version;
+    this.idleTimeoutMs = idleTimeoutMs;
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), any -> new HashMap<>()).put(route.prefix(), route);
+    }
+    services.forEach(service -> this.services.put(service.name(), service));
+  }
+
+  /** Returns the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns how long a caller's connection may be idle, in milliseconds. */
+  public long idleTimeoutMs() {
+    return idleTimeoutMs;
+  }
+
+  /** Returns the services by name. */
+  public Map<String, ServiceSpec> services() {
+    return Map.copyOf(services);
+  }
+
+  /** Returns all routes. */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(byPrefix -> byPrefix.values().stream()).toList();
+  }
+
+  /**
+   * Returns the route of a request.
+   *
+   * @param host the host that it names
+   * @param path its path without the query
+   */
+  public Optional<Route> route(String host, String path) {
+    Map<String, Route> byPrefix = routesByHost.get(host);
+    if (byPrefix == null) {
+      return Optional.empty();
+    }
+    int end = path.lastIndexOf('/');
+    while (end >= 0) {
+      Route route = byPrefix.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+      end = end == 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return Optional.empty();
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/CompletionRequest.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/CompletionRequest.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import java.util.Objects;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/EngineClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/EngineClient.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/EngineFailure.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/EngineFailure.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/EngineListener.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/EngineListener.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 /**
  * Receives a completion stream, all calls on its event loop.
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/PartitionedStore.java
@@ -0,0 +1,134 @@
+package org.sycamoretrack.daemon.farend;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * A transactional store of rows, in tables that are cut into partitions.
+ *
+ * <p>A write is atomic within one partition. All rows take their versions from one counter that
+ * rises with each write, so versions of different rows can be compared. Reads and writes are
+ * linearizable. All stages fail with a {@link org.sycamoretrack.core.process.SycamoreException};
+ * its outcome is {@code NOT_RUN} when nothing was written and {@code UNKNOWN} when the write may
+ * have taken effect, or may still do so as long as its conditions hold.
+ */
+public interface PartitionedStore {
+  /**
+   * A row.
+   *
+   * @param table its table
+   * @param partition its partition, may be empty
+   * @param key its key, unique in the partition
+   * @param value its value, which must not be changed; null for a row that was removed
+   * @param version its version
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Row(String table, String partition, String key, byte[] value, long version) {
+    /** Returns whether the row was removed. */
+    public boolean isRemoved() {
+      return value == null;
+    }
+  }
+
+  /**
+   * Rows in the order of their keys, as of one moment.
+   *
+   * @param rows the rows
+   * @param version the newest version of the store at that moment
+   * @param more whether rows with larger keys follow
+   */
+  record Page(List<Row> rows, long version, boolean more) {
+    /** Copies the rows. */
+    public Page {
+      rows = List.copyOf(rows);
+    }
+  }
+
+  /** What happened in a table after a version. */
+  sealed interface Changes {
+    /**
+     * Rows that changed, oldest first.
+     *
+     * @param rows the rows as they are now
+     * @param version where to go on
+     */
+    record Changed(List<Row> rows, long version) implements Changes {
+      /** Copies the rows. */
+      public Changed {
+        rows = List.copyOf(rows);
+      }
+    }
+
+    /** The store no longer knows; the table must be read again. */
+    record HistoryLost() implements Changes {}
+  }
+
+  /** How a write ended. */
+  sealed interface WriteResult {
+    /**
+     * It took effect.
+     *
+     * @param version the version of all rows that it wrote
+     */
+    record Committed(long version) implements WriteResult {}
+
+    /**
+     * Nothing was written, since a row had another version than expected.
+     *
+     * @param rows the rows of the conditions as they are; those that don't exist are left out
+     */
+    record Conflict(List<Row> rows) implements WriteResult {
+      /** Copies the rows. */
+      public Conflict {
+        rows = List.copyOf(rows);
+      }
+
+      /**
+       * Returns a row of the conditions.
+       *
+       * @param table its table
+       * @param key its key
+       * @return the row; null when it doesn't exist
+       */
+      public Row find(String table, String key) {
+        return rows.stream()
+            .filter(row -> row.table().equals(table) && row.key().equals(key) && !row.isRemoved())
+            .findFirst()
+            .orElse(null);
+      }
+    }
+  }
+
+  /**
+   * Reads rows of a partition.
+   *
+   * @param table the table
+   * @param partition the partition
+   * @param fromKey the first key, empty for the beginning
+   * @param limit the most rows
+   */
+  CompletionStage<Page> scan(String table, String partition, String fromKey, int limit);
+
+  /**
+   * Lists the partitions of a table that have rows.
+   *
+   * @param table the table
+   */
+  CompletionStage<List<String>> partitions(String table);
+
+  /**
+   * Waits for changes of a table.
+   *
+   * @param table the table, all of its partitions
+   * @param afterVersion the version that is known
+   * @param waitMs how long to wait when nothing has changed, in milliseconds
+   */
+  CompletionStage<Changes> changes(String table, long afterVersion, long waitMs);
+
+  /**
+   * Writes atomically.
+   *
+   * @param write the conditions and writes
+   */
+  CompletionStage<WriteResult> commit(PartitionWrite write);
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/platform/PlatformCalls.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/PlatformCalls.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
@@ -20,7 +20,7 @@
  * end refused with 429 or 503; any other failure may hide an effect, and so may an answer that
  * can't be read.
  */
-final class PlatformCalls {
+public final class PlatformCalls {
   private static final int OK = 200;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVICE_UNAVAILABLE = 503;
@@ -30,14 +30,29 @@
   private final ErrorCode code;
   private final int timeoutMs;
 
-  PlatformCalls(HttpClient client, String farEnd, ErrorCode code, int timeoutMs) {
+  /**
+   * Creates the sender.
+   *
+   * @param client sends the calls
+   * @param farEnd names the far end in messages
+   * @param code the code of failures
+   * @param timeoutMs the time within which an answer must have ended, in milliseconds
+   */
+  public PlatformCalls(HttpClient client, String farEnd, ErrorCode code, int timeoutMs) {
     this.client = client;
     this.farEnd = farEnd;
     this.code = code;
     this.timeoutMs = timeoutMs;
   }
 
-  HttpRequest.Builder request(String method, InetSocketAddress address, String target) {
+  /**
+   * Starts a request with the usual time-out.
+   *
+   * @param method the method
+   * @param address where it is sent
+   * @param target path and query
+   */
+  public HttpRequest.Builder request(String method, InetSocketAddress address, String target) {
     return HttpRequest.builder(method, address, target).timeoutMs(timeoutMs);
   }
 
@@ -48,7 +63,7 @@
    * @param reader reads the answer; throws {@link IllegalArgumentException} or {@link
    *     ArithmeticException} when it doesn't have the required form
    */
-  <T> CompletableFuture<T> call(HttpRequest request, Function<HttpAnswer, T> reader) {
+  public <T> CompletableFuture<T> call(HttpRequest request, Function<HttpAnswer, T> reader) {
     CompletableFuture<T> result = new CompletableFuture<>();
     client
         .call(request)
@@ -86,7 +101,7 @@
   }
 
   /** Returns the error for an answer whose status is not one of those that the caller reads. */
-  SycamoreException unexpected(HttpAnswer answer) {
+  public SycamoreException unexpected(HttpAnswer answer) {
     boolean refused =
         answer.status() == TOO_MANY_REQUESTS || answer.status() == SERVICE_UNAVAILABLE;
     return new SycamoreException(
@@ -96,13 +111,14 @@
   }
 
   /** Throws the error of {@link #unexpected} unless the status is 200. */
-  void requireOk(HttpAnswer answer) {
+  public void requireOk(HttpAnswer answer) {
     if (answer.status() != OK) {
       throw unexpected(answer);
     }
   }
 
-  static String encode(String text) {
+  /** Returns a text as it stands in a path or query. */
+  public static String encode(String text) {
     return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/LeaseService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/LeaseService.java
@@ -16,11 +16,11 @@
 import org.sycamoretrack.core.process.LeaseWatch;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
-import org.sycamoretrack.daemon.platform.Failures;
-import org.sycamoretrack.daemon.platform.JsonFields;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.Transaction;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.JsonFields;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.Transaction;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 import org.sycamoretrack.transport.process.Json;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
@@ -21,7 +21,7 @@
 import org.sycamoretrack.core.process.SwimMessage;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
-import org.sycamoretrack.daemon.platform.HostList;
+import org.sycamoretrack.daemon.farend.HostList;
 
 /**
  * Runs the membership protocol of a node on its control thread, over the peer link.
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/OrphanWatch.java
@@ -0,0 +1,72 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sycamoretrack.core.process.ownership.NodeTable;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * Finds open batches whose owner is gone and says when this node should take one over.
+ *
+ * <p>All live nodes see an orphan at about the same time. The first one by rendezvous hash tries at
+ * once, each further one {@value #RANK_DELAY_MS} ms later, so that mostly one tries and any of them
+ * does in the end.
+ *
+ * <p>A batch that names this run of this node, though it isn't run here, was accepted by a write
+ * whose answer was lost; it is taken up after {@value #LOST_ANSWER_MS} ms.
+ */
+final class OrphanWatch {
+  /** A takeover takes two calls of the store, some 10 ms each; slow stores need a multiple. */
+  private static final long RANK_DELAY_MS = 400;
+
+  /** Longer than an acceptance that is still under way takes. */
+  private static final long LOST_ANSWER_MS = 2_500;
+
+  private final String nodeId;
+  private final String incarnation;
+  private final NodeTable nodes;
+  private final Consumer<Owner> takeOver;
+  private final Map<String, Long> orphanedAtMs = new HashMap<>();
+
+  /**
+   * Creates a watch.
+   *
+   * @param nodeId this node
+   * @param incarnation this run of its process
+   * @param nodes the nodes that live
+   * @param takeOver called with the dead owner; may be called again for the same batch
+   */
+  OrphanWatch(String nodeId, String incarnation, NodeTable nodes, Consumer<Owner> takeOver) {
+    this.nodeId = nodeId;
+    this.incarnation = incarnation;
+    this.nodes = nodes;
+    this.takeOver = takeOver;
+  }
+
+  /**
+   * Looks at all owners.
+   *
+   * @param owners the owners by batch
+   */
+  void check(Map<String, Owner> owners) {
+    long nowMs = MonotonicClock.nowMs();
+    orphanedAtMs.keySet().retainAll(owners.keySet());
+    owners.forEach((batchId, owner) -> check(owner, nowMs));
+  }
+
+  private void check(Owner owner, long nowMs) {
+    boolean mine = owner.incarnation().equals(incarnation);
+    if (!mine && nodes.isServing(owner.nodeId(), owner.incarnation())) {
+      orphanedAtMs.remove(owner.batchId());
+      return;
+    }
+    long sinceMs = orphanedAtMs.computeIfAbsent(owner.batchId(), any -> nowMs);
+    long delayMs =
+        mine ? LOST_ANSWER_MS : RANK_DELAY_MS * nodes.takeoverRank(nodeId, owner.batchId());
+    if (nowMs - sinceMs >= delayMs) {
+      takeOver.accept(owner);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -0,0 +1,255 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.sycamoretrack.core.process.ownership.NodeRecord;
+import org.sycamoretrack.core.version.routing.Manifest;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.request.batch.BatchComponents;
+import org.sycamoretrack.daemon.request.batch.BatchService;
+import org.sycamoretrack.daemon.request.forward.Forwarder;
+import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.deployment.DeploymentWatch;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+import org.sycamoretrack.daemon.version.weights.OrderHolder;
+import org.sycamoretrack.transport.connection.EventLoops;
+import org.sycamoretrack.transport.connection.HttpServer;
+
+/**
+ * A node whose state is kept in the platform's store: it forwards plain requests, keeps and runs
+ * batches, and moves endpoints to new weights.
+ *
+ * <p>Two threads: the control loop follows the store's tables, writes the heartbeat and gives
+ * orders; the traffic loop carries callers' and endpoints' connections and runs batches. The
+ * control loop publishes what it knows as immutable views.
+ */
+public final class RolloutNode implements NodeServices {
+  /** Names of the node, where it listens, and what its platform grants. */
+  public record Settings(
+      String nodeId,
+      String zone,
+      InetSocketAddress callerAddress,
+      InetSocketAddress readyAddress,
+      String peerAddress,
+      int maxBodyBytes,
+      int maxConcurrentLoads,
+      long graceMs,
+      long cancelMs) {}
+
+  /** A route that isn't known is refused for good only while the manifest is this young. */
+  private static final long CURRENT_MS = 1_400;
+
+  private static final long TICK_MS = 200;
+
+  /** Nodes that try for the order lease: enough for one zone to be lost. */
+  private static final int LEASE_CANDIDATES = 3;
+
+  /** Callers' connections arrive for some seconds after readiness has ended. */
+  private static final long MIN_STOP_MS = 3_500;
+
+  /** Left of the grace period for what must be done after the last answer. */
+  private static final long STOP_MARGIN_MS = 700;
+
+  /** Left of the time within which an ended batch must start nothing more. */
+  private static final long CANCEL_MARGIN_MS = 600;
+
+  private static final long POLL_STOP_MS = 50;
+  private static final System.Logger LOG = System.getLogger(RolloutNode.class.getName());
+
+  private final Settings settings;
+  private final String incarnation = UUID.randomUUID().toString();
+  private final EventLoopGroup controlGroup = EventLoops.start("control", 1);
+  private final EventLoopGroup trafficGroup = EventLoops.start("traffic", 1);
+  private final EventLoop controlLoop = controlGroup.next();
+  private final EventLoop trafficLoop = trafficGroup.next();
+  private final DeploymentWatch watch;
+  private final NodeRegistry registry;
+  private final OrphanWatch orphans;
+  private final OrderHolder orders;
+  private final BatchComponents components;
+  private final HttpServer callers;
+  private final HttpServer readiness;
+  private volatile boolean stopping;
+
+  private RolloutNode(Settings settings, PlatformAdapter adapter) {
+    this.settings = settings;
+    var controlStore = adapter.store(controlGroup);
+    this.watch =
+        new DeploymentWatch(controlStore, adapter.codec(), controlLoop, this::onDeployment);
+    NodeRecord self =
+        new NodeRecord(
+            settings.nodeId(), incarnation, settings.zone(), settings.peerAddress(), 0, false);
+    this.registry = new NodeRegistry(controlStore, controlLoop, self, () -> {});
+    this.components =
+        BatchComponents.builder()
+            .store(adapter.store(trafficGroup))
+            .sampler(adapter.samplers(trafficGroup))
+            .views(watch::view)
+            .loop(trafficLoop)
+            .nodeId(settings.nodeId())
+            .incarnation(incarnation)
+            .zone(settings.zone())
+            .build();
+    this.orphans =
+        new OrphanWatch(
+            settings.nodeId(),
+            incarnation,
+            registry.table(),
+            owner -> trafficLoop.execute(() -> components.batches().takeOver(owner)));
+    this.orders =
+        new OrderHolder(
+            controlStore,
+            adapter.samplers(controlGroup),
+            watch::view,
+            controlLoop,
+            settings.nodeId(),
+            incarnation,
+            settings.maxConcurrentLoads());
+    this.readiness =
+        HttpServer.builder()
+            .group(trafficGroup)
+            .address(settings.readyAddress())
+            .handler(adapter.readiness(this))
+            .start();
+    this.callers =
+        HttpServer.builder()
+            .group(trafficGroup)
+            .address(settings.callerAddress())
+            .maxBodyBytes(settings.maxBodyBytes())
+            .handler(adapter.callers(this))
+            .start();
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings its settings
+   * @param adapter its platform
+   */
+  public static RolloutNode start(Settings settings, PlatformAdapter adapter) {
+    RolloutNode node = new RolloutNode(settings, adapter);
+    node.watch.start();
+    node.registry.start();
+    node.orders.start();
+    node.controlLoop.scheduleAtFixedRate(node::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("node-started")
+            .with("incarnation", node.incarnation)
+            .with("callerAddress", settings.callerAddress()));
+    return node;
+  }
+
+  private void onDeployment() {
+    DeploymentView view = watch.view();
+    if (watch.isComplete()) {
+      trafficLoop.execute(() -> tellOwners(view));
+    }
+  }
+
+  private void tellOwners(DeploymentView view) {
+    long maxAgeMs = settings.cancelMs() - CANCEL_MARGIN_MS;
+    components.batches().onOwners(view.owners(), watch.ownersAgeMs(), maxAgeMs);
+  }
+
+  private void tick() {
+    if (!watch.isComplete()) {
+      return;
+    }
+    DeploymentView view = watch.view();
+    trafficLoop.execute(() -> tellOwners(view));
+    boolean first = registry.table().takeoverRank(settings.nodeId(), "orders") < LEASE_CANDIDATES;
+    orders.setCandidate(!stopping && registry.isRegistered() && first);
+    if (!stopping && registry.isFresh()) {
+      orphans.check(view.owners());
+    }
+  }
+
+  @Override
+  public Optional<Manifest> manifest() {
+    return watch.view().manifest();
+  }
+
+  @Override
+  public boolean isManifestCurrent() {
+    return watch.manifestAgeMs() < CURRENT_MS;
+  }
+
+  @Override
+  public Forwarder forwarder() {
+    return components.forwarder();
+  }
+
+  @Override
+  public BatchService batches() {
+    return components.batches();
+  }
+
+  @Override
+  public boolean isReady() {
+    return !stopping && watch.isComplete() && registry.isRegistered();
+  }
+
+  @Override
+  public boolean isStopping() {
+    return stopping;
+  }
+
+  /**
+   * Stops: takes no new connections, hands batches and the order lease to other nodes, and lets
+   * what is in flight end within the grace period.
+   */
+  public void stop() {
+    long startedMs = MonotonicClock.nowMs();
+    stopping = true;
+    LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopping"));
+    CompletableFuture<Void> handedOver = new CompletableFuture<>();
+    trafficLoop.execute(
+        () ->
+            components
+                .batches()
+                .handOver()
+                .thenCompose(done -> leave())
+                .whenComplete(Failures.logged((done, failure) -> handedOver.complete(null))));
+    controlLoop.execute(orders::release);
+    long endMs = startedMs + settings.graceMs() - STOP_MARGIN_MS;
+    await(handedOver, endMs - MonotonicClock.nowMs());
+    while (MonotonicClock.nowMs() < endMs
+        && (MonotonicClock.nowMs() < startedMs + MIN_STOP_MS || callers.inFlightCount() > 0)) {
+      await(new CompletableFuture<>(), POLL_STOP_MS);
+    }
+    registry.stop();
+    watch.stop();
+    callers.close();
+    readiness.close();
+    LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopped"));
+  }
+
+  private CompletableFuture<Void> leave() {
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    controlLoop.execute(
+        () ->
+            registry.leave().whenComplete(Failures.logged((done, failure) -> left.complete(null))));
+    return left;
+  }
+
+  private static void await(CompletableFuture<Void> future, long timeoutMs) {
+    try {
+      future.get(Math.max(1, timeoutMs), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      // The time is up, or the pause is over.
+    } catch (ExecutionException e) {
+      LOG.log(System.Logger.Level.WARNING, "hand-over-failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimRange.java
@@ -13,8 +13,8 @@
 import org.sycamoretrack.core.request.ClaimLedger;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.RecordedAnswer;
-import org.sycamoretrack.daemon.platform.Failures;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /**
  * One key range as this node sees it: taking it, reading its batches, writing new ones, giving it
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimService.java
@@ -16,7 +16,7 @@
 import org.sycamoretrack.core.process.RendezvousHash;
 import org.sycamoretrack.core.request.ClaimLimits;
 import org.sycamoretrack.core.request.RecordedAnswer;
-import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.farend.TableStore;
 import org.sycamoretrack.daemon.process.ControlInbox;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTable.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimTable.java
@@ -13,10 +13,10 @@
 import org.sycamoretrack.core.request.ClaimBatch;
 import org.sycamoretrack.core.request.ClaimEntry;
 import org.sycamoretrack.core.request.RecordedAnswer;
-import org.sycamoretrack.daemon.platform.JsonFields;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.Transaction;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.JsonFields;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.Transaction;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 import org.sycamoretrack.transport.process.Json;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointDirectory.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointDirectory.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sycamoretrack.core.process.ErrorCode;
-import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineClient;
 import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointHealth.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointHealth.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.HostList;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.HostList;
 import org.sycamoretrack.daemon.process.LogEvent;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointTask.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointTask.java
@@ -3,10 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.sycamoretrack.daemon.platform.CompletionRequest;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.EngineFailure;
-import org.sycamoretrack.daemon.platform.EngineListener;
+import org.sycamoretrack.daemon.farend.CompletionRequest;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineFailure;
+import org.sycamoretrack.daemon.farend.EngineListener;
 import org.sycamoretrack.daemon.process.NodeLimits;
 import org.sycamoretrack.transport.request.HttpCall;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
@@ -16,8 +16,8 @@
 import org.sycamoretrack.core.request.LimitSettings;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.Polled;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.EngineFailure;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineFailure;
 import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/OwnerWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/OwnerWatch.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
 import org.sycamoretrack.core.process.LeaseWatch;
-import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.farend.TableStore;
 import org.sycamoretrack.daemon.process.LeaseService;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
@@ -18,7 +18,7 @@
 import org.sycamoretrack.core.version.ResourceSpec;
 import org.sycamoretrack.daemon.connection.EndpointLoadCodec;
 import org.sycamoretrack.daemon.connection.PeerLink;
-import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineClient;
 import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 import org.sycamoretrack.transport.connection.HttpClient;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleJournal.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleJournal.java
@@ -13,8 +13,8 @@
 import java.util.function.Function;
 import org.sycamoretrack.core.request.Sample;
 import org.sycamoretrack.core.request.StepSpec;
-import org.sycamoretrack.daemon.platform.Failures;
-import org.sycamoretrack.daemon.platform.ObjectStore;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.ObjectStore;
 import org.sycamoretrack.daemon.process.LogEvent;
 
 /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleJournalCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/SampleJournalCodec.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.sycamoretrack.core.request.Sample;
 import org.sycamoretrack.core.request.VersionSpan;
-import org.sycamoretrack.daemon.platform.JsonFields;
+import org.sycamoretrack.daemon.farend.JsonFields;
 import org.sycamoretrack.transport.process.Json;
 
 /** Writes and reads batches of samples for the object store. */
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -0,0 +1,110 @@
+package org.sycamoretrack.daemon.request.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.SlotLedger;
+import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.request.forward.Forwarder;
+import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+
+/** What shares the slots of endpoints on one traffic loop: batches and plain requests. */
+public final class BatchComponents {
+  private final BatchService batches;
+  private final Forwarder forwarder;
+
+  private BatchComponents(Builder builder) {
+    SlotLedger ledger = new SlotLedger();
+    SlotPlacement placement = new SlotPlacement(ledger, builder.zone);
+    BatchScheduler scheduler =
+        new BatchScheduler(builder.sampler, builder.views, ledger, placement, builder.loop);
+    this.batches =
+        new BatchService(
+            builder.store, scheduler, builder.loop, builder.nodeId, builder.incarnation);
+    this.forwarder = new Forwarder(builder.sampler, builder.views, ledger, placement, builder.loop);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns what keeps batches. */
+  public BatchService batches() {
+    return batches;
+  }
+
+  /** Returns what forwards plain requests. */
+  public Forwarder forwarder() {
+    return forwarder;
+  }
+
+  /** Builds {@link BatchComponents}; all values are required. */
+  public static final class Builder {
+    private PartitionedStore store;
+    private SamplerClient sampler;
+    private Supplier<DeploymentView> views;
+    private EventLoop loop;
+    private String nodeId;
+    private String incarnation;
+    private String zone;
+
+    private Builder() {}
+
+    /** Sets the store, which answers on the loop. */
+    public Builder store(PartitionedStore value) {
+      this.store = value;
+      return this;
+    }
+
+    /** Sets what sends to endpoints, and answers on the loop. */
+    public Builder sampler(SamplerClient value) {
+      this.sampler = value;
+      return this;
+    }
+
+    /** Sets what is known of the deployment. */
+    public Builder views(Supplier<DeploymentView> value) {
+      this.views = value;
+      return this;
+    }
+
+    /** Sets the traffic loop. */
+    public Builder loop(EventLoop value) {
+      this.loop = value;
+      return this;
+    }
+
+    /** Sets this node. */
+    public Builder nodeId(String value) {
+      this.nodeId = value;
+      return this;
+    }
+
+    /** Sets this run of its process. */
+    public Builder incarnation(String value) {
+      this.incarnation = value;
+      return this;
+    }
+
+    /** Sets the node's availability zone. */
+    public Builder zone(String value) {
+      this.zone = value;
+      return this;
+    }
+
+    /** Returns the components. */
+    public BatchComponents build() {
+      Objects.requireNonNull(store, "store");
+      Objects.requireNonNull(sampler, "sampler");
+      Objects.requireNonNull(views, "views");
+      Objects.requireNonNull(loop, "loop");
+      Objects.requireNonNull(nodeId, "nodeId");
+      Objects.requireNonNull(incarnation, "incarnation");
+      Objects.requireNonNull(zone, "zone");
+      return new BatchComponents(this);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -0,0 +1,318 @@
+package org.sycamoretrack.daemon.request.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
+import org.sycamoretrack.core.request.batch.ItemProgress;
+import org.sycamoretrack.core.request.batch.ItemResult;
+import org.sycamoretrack.core.request.batch.OpenBatch;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionWrite;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.ControlTables;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
+
+/**
+ * Runs a batch at its owner: sends its items to endpoints and lists their results.
+ *
+ * <p>Results are committed in groups, on condition that the owner's row is unchanged. A node that
+ * has lost the batch, be it paused or cut off, can therefore list nothing any more, without a look
+ * at any clock. A commit whose outcome is unknown is repeated unchanged: its rows are written on
+ * condition that the first one doesn't exist, so it takes effect once at most.
+ *
+ * <p>Confined to the traffic loop.
+ */
+final class BatchRunner {
+  /** Twice the store's usual time; a slow store answers late and must not be asked more often. */
+  private static final long COMMIT_RETRY_MS = 200;
+
+  /** Results of one commit: with the rows of large ones, under the store's 100 entries a call. */
+  private static final int MAX_RESULTS_PER_COMMIT = 40;
+
+  /** Text of one commit: its form in the call is a third larger, and a call may have 1 MB. */
+  private static final int MAX_COMMIT_BYTES = 400_000;
+
+  private static final System.Logger LOG = System.getLogger(BatchRunner.class.getName());
+
+  /** What a runner tells the one that keeps it. */
+  interface Listener {
+    /** Called when results were listed. */
+    void onListed(String batchId);
+
+    /** Called once, when this node runs the batch no more. */
+    void onClosed(BatchRunner runner);
+  }
+
+  private final OpenBatch batch;
+  private final Owner owner;
+  private final PartitionedStore store;
+  private final BatchScheduler scheduler;
+  private final EventLoop loop;
+  private final Listener listener;
+  private final Map<ItemProgress, ItemRun> runs = new HashMap<>();
+  private final Map<String, Set<String>> groupEndpoints = new HashMap<>();
+  private List<ItemResult> committing = List.of();
+  private boolean mayDispatch = true;
+  private boolean seen;
+  private boolean closed;
+
+  /**
+   * Creates a runner.
+   *
+   * @param batch the batch
+   * @param owner the owner's row as this node wrote it
+   * @param store the store, which answers on the loop
+   * @param scheduler gives slots to the items
+   * @param loop the traffic loop
+   * @param listener is told of results and of the end
+   */
+  BatchRunner(
+      OpenBatch batch,
+      Owner owner,
+      PartitionedStore store,
+      BatchScheduler scheduler,
+      EventLoop loop,
+      Listener listener) {
+    this.batch = batch;
+    this.owner = owner;
+    this.store = store;
+    this.scheduler = scheduler;
+    this.loop = loop;
+    this.listener = listener;
+  }
+
+  OpenBatch batch() {
+    return batch;
+  }
+
+  Owner owner() {
+    return owner;
+  }
+
+  boolean mayDispatch() {
+    return mayDispatch && !closed;
+  }
+
+  /** Sets whether new runs may start, which they may not while the owner's row isn't confirmed. */
+  void setMayDispatch(boolean allowed) {
+    mayDispatch = allowed;
+  }
+
+  /** Notes that the watch of owners has shown this owner's row. */
+  void onSeen() {
+    seen = true;
+  }
+
+  /** Returns whether the watch of owners has shown this owner's row, so that its absence counts. */
+  boolean wasSeen() {
+    return seen;
+  }
+
+  /** Returns the endpoints that have run items of a group, which have its prompt. */
+  Set<String> endpointsOf(String group) {
+    return groupEndpoints.getOrDefault(group, Set.of());
+  }
+
+  /** Starts a run of an item. */
+  void start(ItemProgress item, Endpoint endpoint) {
+    item.onStarted();
+    groupEndpoints.computeIfAbsent(item.item().group(), any -> new HashSet<>()).add(endpoint.id());
+    ItemRun run = new ItemRun(this, scheduler, item, endpoint);
+    runs.put(item, run);
+    run.start(batch.submission().host());
+  }
+
+  /** Notes that a run ended without a result. */
+  void onRunEnded(ItemProgress item) {
+    runs.remove(item);
+    scheduler.requestDispatch();
+  }
+
+  /** Lists the result of an item. */
+  void finish(ItemProgress item, boolean completed, String reason) {
+    runs.remove(item);
+    if (closed) {
+      return;
+    }
+    if (!completed) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("item-given-up")
+              .with("batch", batch.submission().id())
+              .with("item", item.item().id())
+              .with("failures", item.failures())
+              .with("reason", reason));
+    }
+    batch.finish(
+        item,
+        new ItemResult(item.item().id(), completed, item.text().data(), item.text().versions()));
+    commit();
+    scheduler.requestDispatch();
+  }
+
+  /** Looks for silent runs and for items that have waited too long. */
+  void onTick(long nowMs) {
+    List.copyOf(runs.values()).forEach(run -> run.onTick(nowMs));
+    BatchSubmission submission = batch.submission();
+    long maxQueueMs = submission.terms().maxQueueMs();
+    if (maxQueueMs > 0 && System.currentTimeMillis() - submission.acceptedAtMs() > maxQueueMs) {
+      for (ItemProgress item : batch.items()) {
+        if (!item.isFinished() && !item.isRunning()) {
+          finish(item, false, "waited longer than the route allows");
+        }
+      }
+    }
+  }
+
+  private void commit() {
+    if (closed || !committing.isEmpty()) {
+      return;
+    }
+    committing =
+        batch.beginCommit(
+            MAX_RESULTS_PER_COMMIT, MAX_COMMIT_BYTES, result -> result.text().length());
+    if (!committing.isEmpty()) {
+      write();
+    }
+  }
+
+  private void write() {
+    int first = batch.listed();
+    PartitionWrite.Builder write =
+        PartitionWrite.in(batch.submission().id())
+            .expect(ControlTables.CONTROL, ControlTables.OWNER, owner.version())
+            .expect(BatchJournal.RESULT, BatchJournal.firstRowKey(first), PartitionWrite.ABSENT);
+    for (int i = 0; i < committing.size(); i++) {
+      BatchJournal.putResult(write, first + i, committing.get(i));
+    }
+    if (first + committing.size() == batch.items().size()) {
+      write.remove(ControlTables.CONTROL, ControlTables.OWNER);
+    }
+    store
+        .commit(write.build())
+        .whenComplete(
+            Failures.logged(
+                (result, failure) -> {
+                  if (closed) {
+                    return;
+                  }
+                  if (failure != null) {
+                    LOG.log(
+                        System.Logger.Level.WARNING,
+                        LogEvent.of("commit-unsettled")
+                            .with("batch", batch.submission().id())
+                            .with("position", first)
+                            .with("reason", Failures.unwrap(failure).getMessage()));
+                    loop.schedule(this::write, COMMIT_RETRY_MS, TimeUnit.MILLISECONDS);
+                    return;
+                  }
+                  switch (result) {
+                    case WriteResult.Committed done -> onCommitted();
+                    case WriteResult.Conflict conflict -> onConflict(conflict, first);
+                  }
+                }));
+  }
+
+  private void onCommitted() {
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("results-listed")
+            .with("batch", batch.submission().id())
+            .with("position", batch.listed())
+            .with("count", committing.size()));
+    batch.onCommitted();
+    committing = List.of();
+    listener.onListed(batch.submission().id());
+    if (batch.isComplete()) {
+      close("complete");
+    } else {
+      commit();
+    }
+  }
+
+  /** Tells the own commit, whose answer was lost, from a batch that was taken over or ended. */
+  private void onConflict(WriteResult.Conflict conflict, int first) {
+    Row mine = conflict.find(BatchJournal.RESULT, BatchJournal.firstRowKey(first));
+    Row ownerRow = conflict.find(ControlTables.CONTROL, ControlTables.OWNER);
+    boolean stillOwner = ownerRow != null && ownerRow.version() == owner.version();
+    boolean last = first + committing.size() == batch.items().size();
+    if (mine != null && (stillOwner || (last && ownerRow == null))) {
+      onCommitted();
+    } else {
+      close(ownerRow == null ? "ended or complete" : "taken over");
+    }
+  }
+
+  /**
+   * Gives the batch to another node: keeps the texts so far, so that it can go on from them.
+   *
+   * @return done when they are kept, or can't be
+   */
+  CompletionStage<Void> handOver() {
+    List<BatchJournal.Slice> slices = new ArrayList<>();
+    for (ItemProgress item : batch.items()) {
+      if (!item.isFinished() && item.text().lastEvent() > 0) {
+        slices.addAll(BatchJournal.text(item));
+      }
+    }
+    close("handed over");
+    CompletionStage<Void> kept = CompletableFuture.completedFuture(null);
+    int step = BatchJournal.ROWS_PER_WRITE;
+    for (int start = 0; start < slices.size(); start += step) {
+      List<BatchJournal.Slice> part = slices.subList(start, Math.min(slices.size(), start + step));
+      kept = kept.thenCompose(done -> keep(part));
+    }
+    return kept.exceptionally(
+        failure -> {
+          LOG.log(
+              System.Logger.Level.WARNING,
+              LogEvent.of("texts-not-kept")
+                  .with("batch", batch.submission().id())
+                  .with("reason", Failures.unwrap(failure).getMessage()));
+          return null;
+        });
+  }
+
+  private CompletionStage<Void> keep(List<BatchJournal.Slice> slices) {
+    PartitionWrite.Builder write =
+        PartitionWrite.in(batch.submission().id())
+            .expect(ControlTables.CONTROL, ControlTables.OWNER, owner.version());
+    slices.forEach(slice -> write.put(BatchJournal.BATCH, slice.key(), slice.bytes()));
+    return store.commit(write.build()).thenApply(result -> null);
+  }
+
+  /** Stops running the batch, without any change to what is listed. */
+  void close(String reason) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("batch-closed")
+            .with("batch", batch.submission().id())
+            .with("listed", batch.listed())
+            .with("items", batch.items().size())
+            .with("reason", reason));
+    List.copyOf(runs.values()).forEach(ItemRun::cancel);
+    runs.clear();
+    scheduler.remove(this);
+    listener.onClosed(this);
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -0,0 +1,163 @@
+package org.sycamoretrack.daemon.request.batch;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.SlotLedger;
+import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.core.request.batch.BatchItem;
+import org.sycamoretrack.core.request.batch.ItemOrder;
+import org.sycamoretrack.core.request.batch.ItemProgress;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * Gives free slots of endpoints to the waiting items of the batches that this node owns.
+ *
+ * <p>The oldest batch goes first, its items in the order of {@link ItemOrder}. An item goes to an
+ * endpoint of its model's share that serves a version which the batch allows and that isn't
+ * loading; when the share has none, to any endpoint of the service that does. An endpoint never
+ * gets more than its slots: what waits here may still go elsewhere, what waits there may not.
+ *
+ * <p>Confined to the traffic loop.
+ */
+final class BatchScheduler {
+  /** Finds runs that have gone silent, and items whose pause has passed. */
+  private static final long TICK_MS = 50;
+
+  /** The usual number of tokens of an event, for estimates only. */
+  private static final int TOKENS_PER_EVENT = 50;
+
+  private final SamplerClient sampler;
+  private final Supplier<DeploymentView> views;
+  private final SlotLedger ledger;
+  private final SlotPlacement placement;
+  private final EventLoop loop;
+  private final ItemOrder order = new ItemOrder(TOKENS_PER_EVENT);
+  private final List<BatchRunner> runners = new ArrayList<>();
+  private final Map<String, Map<String, Integer>> observedVersions = new HashMap<>();
+  private boolean dispatchPending;
+  private boolean stopped;
+
+  BatchScheduler(
+      SamplerClient sampler,
+      Supplier<DeploymentView> views,
+      SlotLedger ledger,
+      SlotPlacement placement,
+      EventLoop loop) {
+    this.sampler = sampler;
+    this.views = views;
+    this.ledger = ledger;
+    this.placement = placement;
+    this.loop = loop;
+    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  SamplerClient sampler() {
+    return sampler;
+  }
+
+  SlotLedger ledger() {
+    return ledger;
+  }
+
+  void add(BatchRunner runner) {
+    runners.add(runner);
+    runners.sort(
+        Comparator.comparingLong((BatchRunner each) -> each.batch().submission().acceptedAtMs()));
+    requestDispatch();
+  }
+
+  void remove(BatchRunner runner) {
+    runners.remove(runner);
+    requestDispatch();
+  }
+
+  /** Stops starting runs. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Notes the version that an endpoint said with an answer. */
+  void onVersion(String endpointId, String model, int version) {
+    observedVersions
+        .computeIfAbsent(endpointId, any -> new HashMap<>())
+        .merge(model, version, Math::max);
+  }
+
+  /** Dispatches once the events at hand have been handled. */
+  void requestDispatch() {
+    if (!dispatchPending) {
+      dispatchPending = true;
+      loop.execute(
+          () -> {
+            dispatchPending = false;
+            dispatch();
+          });
+    }
+  }
+
+  private void tick() {
+    long nowMs = MonotonicClock.nowMs();
+    List.copyOf(runners).forEach(runner -> runner.onTick(nowMs));
+    dispatch();
+  }
+
+  private void dispatch() {
+    if (stopped) {
+      return;
+    }
+    long nowMs = MonotonicClock.nowMs();
+    for (BatchRunner runner : List.copyOf(runners)) {
+      if (runner.mayDispatch()) {
+        dispatch(runner, nowMs);
+      }
+    }
+  }
+
+  private void dispatch(BatchRunner runner, long nowMs) {
+    for (ItemProgress item : order.waiting(runner.batch(), nowMs)) {
+      List<Endpoint> candidates = candidates(runner, item.item());
+      Set<String> preferred = runner.endpointsOf(item.item().group());
+      Endpoint endpoint = placement.chooseFree(candidates, preferred, nowMs);
+      if (endpoint == null) {
+        return;
+      }
+      runner.start(item, endpoint);
+    }
+  }
+
+  /** Returns the endpoints that may serve an item, those of its model's share if there are any. */
+  private List<Endpoint> candidates(BatchRunner runner, BatchItem item) {
+    DeploymentView view = views.get();
+    String service = runner.batch().submission().service();
+    if (item.model().isEmpty()) {
+      return view.fleet().inService(service);
+    }
+    int minVersion = runner.batch().submission().minVersion();
+    List<Endpoint> own =
+        view.share(service, item.model()).stream()
+            .filter(endpoint -> serves(view, endpoint, item.model(), minVersion))
+            .toList();
+    if (!own.isEmpty()) {
+      return own;
+    }
+    return view.fleet().inService(service).stream()
+        .filter(endpoint -> serves(view, endpoint, item.model(), minVersion))
+        .toList();
+  }
+
+  private boolean serves(DeploymentView view, Endpoint endpoint, String model, int minVersion) {
+    int observed = observedVersions.getOrDefault(endpoint.id(), Map.of()).getOrDefault(model, 0);
+    int version = Math.max(view.version(endpoint, model), observed);
+    return version >= minVersion && !view.isLoading(endpoint.id(), model);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -0,0 +1,219 @@
+package org.sycamoretrack.daemon.request.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.Route;
+import org.sycamoretrack.core.version.routing.RouteKind;
+import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.farend.SamplerClient.Attempt;
+import org.sycamoretrack.daemon.farend.SamplerClient.PlainRequest;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+import org.sycamoretrack.transport.request.HttpCall;
+
+/**
+ * One plain request across the endpoints that it is sent to.
+ *
+ * <p>A request that may run more than once is sent to a second endpoint when the first one fails,
+ * or hasn't answered after {@value #HEDGE_MS} ms; the first whole answer counts and ends the other
+ * run. One that may run only once is sent on only after the endpoint has promised not to run it. An
+ * endpoint that promised is not counted as an attempt; each one is asked once.
+ *
+ * <p>Confined to the traffic loop.
+ */
+public final class ForwardedCall {
+  /** Three times the usual work of a lookup; later, a stalled endpoint is the likelier reason. */
+  private static final long HEDGE_MS = 90;
+
+  /** Usual time until a full endpoint frees a slot. */
+  private static final long RETRY_AFTER_MS = 100;
+
+  private static final long REFUSED_PAUSE_MS = 60;
+  private static final long LOST_PAUSE_MS = 250;
+  private static final int SERVER_ERROR = 500;
+  private static final System.Logger LOG = System.getLogger(ForwardedCall.class.getName());
+
+  private final Forwarder forwarder;
+  private final Route route;
+  private final PlainRequest request;
+  private final Consumer<ForwardOutcome> onOutcome;
+  private final long startedMs = MonotonicClock.nowMs();
+  private final long untilMs;
+  private final String service;
+  private final Set<String> tried = new HashSet<>();
+  private final Set<String> inFlight = new HashSet<>();
+  private final Map<String, HttpCall> running = new HashMap<>();
+  private int attempts;
+  private boolean maybeRan;
+  private Attempt.Answered failedAnswer;
+  private String lastReason = "no endpoint is in service";
+  private boolean ended;
+
+  ForwardedCall(
+      Forwarder forwarder,
+      Route route,
+      PlainRequest request,
+      long deadlineMs,
+      Consumer<ForwardOutcome> onOutcome) {
+    this.forwarder = forwarder;
+    this.route = route;
+    this.request = request;
+    this.onOutcome = onOutcome;
+    this.untilMs = startedMs + Math.min(deadlineMs, route.timeoutMs());
+    this.service = route.service(ThreadLocalRandom.current().nextInt());
+  }
+
+  void start() {
+    forwarder.schedule(this::onTimeout, Math.max(0, untilMs - startedMs));
+    if (!sendNext()) {
+      end(new ForwardOutcome.NotRun(lastReason, RETRY_AFTER_MS));
+    }
+  }
+
+  /** Ends the work at all endpoints; nothing is reported any more. */
+  public void cancel() {
+    ended = true;
+    cancelRunning();
+  }
+
+  private void cancelRunning() {
+    List<HttpCall> calls = List.copyOf(running.values());
+    inFlight.forEach(forwarder.ledger()::onEnded);
+    inFlight.clear();
+    running.clear();
+    calls.forEach(HttpCall::cancel);
+  }
+
+  private boolean isRepeatable() {
+    return route.kind() == RouteKind.SAFE;
+  }
+
+  /** Sends the request to one more endpoint, if it may be. */
+  private boolean sendNext() {
+    long nowMs = MonotonicClock.nowMs();
+    if (ended || attempts >= route.attempts() || nowMs >= untilMs || service == null) {
+      return false;
+    }
+    Endpoint endpoint = forwarder.choose(service, tried);
+    if (endpoint == null) {
+      return false;
+    }
+    tried.add(endpoint.id());
+    attempts++;
+    inFlight.add(endpoint.id());
+    forwarder.ledger().onSent(endpoint.id());
+    HttpCall call =
+        forwarder
+            .sampler()
+            .send(endpoint, request, untilMs - nowMs, attempt -> onAttempt(endpoint, attempt));
+    if (inFlight.contains(endpoint.id())) {
+      running.put(endpoint.id(), call);
+    }
+    if (isRepeatable()) {
+      forwarder.schedule(() -> hedge(endpoint), HEDGE_MS);
+    }
+    return true;
+  }
+
+  private void hedge(Endpoint slow) {
+    if (!ended && inFlight.contains(slow.id()) && inFlight.size() == 1 && sendNext()) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("request-hedged")
+              .with("request", request.requestId())
+              .with("endpoint", slow.id())
+              .with("elapsedMs", MonotonicClock.nowMs() - startedMs));
+    }
+  }
+
+  private void onAttempt(Endpoint endpoint, Attempt attempt) {
+    if (!inFlight.remove(endpoint.id())) {
+      return;
+    }
+    running.remove(endpoint.id());
+    forwarder.ledger().onEnded(endpoint.id());
+    long nowMs = MonotonicClock.nowMs();
+    switch (attempt) {
+      case Attempt.Answered answered -> {
+        note(endpoint, answered.load(), nowMs);
+        if (answered.answer().status() >= SERVER_ERROR && isRepeatable()) {
+          failedAnswer = answered;
+          maybeRan = true;
+          lastReason = "endpoint answered " + answered.answer().status();
+          goOn(endpoint);
+        } else {
+          end(new ForwardOutcome.Answered(answered.answer()));
+        }
+      }
+      case Attempt.NotRun notRun -> {
+        note(endpoint, notRun.load(), nowMs);
+        forwarder.ledger().onRefused(endpoint.id(), nowMs + REFUSED_PAUSE_MS);
+        attempts--;
+        lastReason = notRun.reason();
+        goOn(endpoint);
+      }
+      case Attempt.Lost lost -> {
+        forwarder.ledger().onRefused(endpoint.id(), nowMs + LOST_PAUSE_MS);
+        maybeRan = true;
+        lastReason = lost.reason();
+        goOn(endpoint);
+      }
+    }
+  }
+
+  private void note(Endpoint endpoint, SamplerClient.Load load, long nowMs) {
+    if (load != null) {
+      forwarder.ledger().onReport(endpoint.id(), load.running(), load.waiting(), nowMs);
+    }
+  }
+
+  private void goOn(Endpoint endpoint) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("attempt-failed")
+            .with("request", request.requestId())
+            .with("endpoint", endpoint.id())
+            .with("elapsedMs", MonotonicClock.nowMs() - startedMs)
+            .with("reason", lastReason));
+    boolean maySend = isRepeatable() || !maybeRan;
+    if ((maySend && sendNext()) || !inFlight.isEmpty()) {
+      return;
+    }
+    if (failedAnswer != null) {
+      end(new ForwardOutcome.Answered(failedAnswer.answer()));
+    } else if (maybeRan) {
+      end(new ForwardOutcome.Lost(lastReason));
+    } else {
+      end(new ForwardOutcome.NotRun(lastReason, RETRY_AFTER_MS));
+    }
+  }
+
+  private void onTimeout() {
+    end(new ForwardOutcome.TimedOut());
+  }
+
+  private void end(ForwardOutcome outcome) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    cancelRunning();
+    if (!(outcome instanceof ForwardOutcome.Answered)) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("request-failed")
+              .with("request", request.requestId())
+              .with("route", route.name())
+              .with("tried", List.copyOf(tried))
+              .with("outcome", outcome)
+              .with("elapsedMs", MonotonicClock.nowMs() - startedMs));
+    }
+    onOutcome.accept(outcome);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -0,0 +1,88 @@
+package org.sycamoretrack.daemon.request.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.SlotLedger;
+import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.Route;
+import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.farend.SamplerClient.PlainRequest;
+import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * Sends plain requests to endpoints of their service. Confined to the traffic loop.
+ *
+ * <p>See {@link ForwardedCall} for what is sent more than once.
+ */
+public final class Forwarder {
+  private final SamplerClient sampler;
+  private final Supplier<DeploymentView> views;
+  private final SlotLedger ledger;
+  private final SlotPlacement placement;
+  private final EventLoop loop;
+
+  /**
+   * Creates a forwarder.
+   *
+   * @param sampler sends to endpoints, and answers on the loop
+   * @param views what is known of the deployment
+   * @param ledger the slots in use
+   * @param placement chooses endpoints
+   * @param loop the traffic loop
+   */
+  public Forwarder(
+      SamplerClient sampler,
+      Supplier<DeploymentView> views,
+      SlotLedger ledger,
+      SlotPlacement placement,
+      EventLoop loop) {
+    this.sampler = sampler;
+    this.views = views;
+    this.ledger = ledger;
+    this.placement = placement;
+    this.loop = loop;
+  }
+
+  /**
+   * Forwards a request.
+   *
+   * @param route its route
+   * @param request the request
+   * @param deadlineMs how long the caller waits, in milliseconds
+   * @param onOutcome called once, unless the call is cancelled
+   * @return the call
+   */
+  public ForwardedCall forward(
+      Route route, PlainRequest request, long deadlineMs, Consumer<ForwardOutcome> onOutcome) {
+    ForwardedCall call = new ForwardedCall(this, route, request, deadlineMs, onOutcome);
+    call.start();
+    return call;
+  }
+
+  SamplerClient sampler() {
+    return sampler;
+  }
+
+  SlotLedger ledger() {
+    return ledger;
+  }
+
+  /** Returns an endpoint that was not tried; null when there is none. */
+  Endpoint choose(String service, Set<String> tried) {
+    List<Endpoint> candidates =
+        views.get().fleet().inService(service).stream()
+            .filter(endpoint -> !tried.contains(endpoint.id()))
+            .toList();
+    return placement.chooseAny(candidates, MonotonicClock.nowMs());
+  }
+
+  void schedule(Runnable action, long delayMs) {
+    loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
@@ -12,7 +12,7 @@
 import org.sycamoretrack.core.version.Resource;
 import org.sycamoretrack.core.version.ResourceKey;
 import org.sycamoretrack.core.version.Violation;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /**
  * One change, from the request to its settled outcome. Confined to the control thread.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
@@ -28,7 +28,7 @@
 import org.sycamoretrack.core.version.Resource;
 import org.sycamoretrack.core.version.Violation;
 import org.sycamoretrack.daemon.connection.PeerLink;
-import org.sycamoretrack.daemon.platform.TableStore;
+import org.sycamoretrack.daemon.farend.TableStore;
 import org.sycamoretrack.daemon.process.ControlAgent;
 import org.sycamoretrack.daemon.process.ControlInbox;
 import org.sycamoretrack.daemon.process.LogEvent;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationStore.java
@@ -11,9 +11,9 @@
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.core.version.Resource;
 import org.sycamoretrack.core.version.ResourceKey;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.Transaction;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.Transaction;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /**
  * The configuration in the table: one row for each resource under one head row.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/GroupRollout.java
@@ -11,7 +11,7 @@
 import org.sycamoretrack.core.version.RolloutStatus;
 import org.sycamoretrack.core.version.WeightRollout;
 import org.sycamoretrack.core.version.WeightRollout.Command;
-import org.sycamoretrack.daemon.platform.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineClient;
 import org.sycamoretrack.daemon.process.ControlInbox;
 import org.sycamoretrack.daemon.process.LogEvent;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/VersionProbe.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/VersionProbe.java
@@ -3,10 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.sycamoretrack.daemon.platform.CompletionRequest;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.EngineFailure;
-import org.sycamoretrack.daemon.platform.EngineListener;
+import org.sycamoretrack.daemon.farend.CompletionRequest;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineFailure;
+import org.sycamoretrack.daemon.farend.EngineListener;
 
 /** Generates one token to see which version of the weights makes it. */
 final class VersionProbe implements EngineListener {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/WeightRolloutService.java
@@ -20,9 +20,9 @@
 import org.sycamoretrack.core.version.RolloutStatus;
 import org.sycamoretrack.core.version.RolloutTimes;
 import org.sycamoretrack.core.version.WeightRollout;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.WeightStore;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.WeightStore;
 import org.sycamoretrack.daemon.process.ControlInbox;
 
 /**
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -0,0 +1,273 @@
+package org.sycamoretrack.daemon.version.deployment;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.fleet.Fleet;
+import org.sycamoretrack.core.version.routing.Manifest;
+import org.sycamoretrack.daemon.farend.DeploymentCodec;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
+
+/**
+ * Follows the tables of operators, endpoints and nodes, and publishes what they say.
+ *
+ * <p>Invariants: the version of the manifest and of each model never falls within a process. An
+ * endpoint that is missing right after an outage of the store stays listed for {@value #REENTRY_MS}
+ * ms, since its entry may have lapsed while it could not renew it; one that says that it is
+ * draining doesn't.
+ *
+ * <p>Confined to the control loop, but for {@link #view} and {@link #manifestAgeMs}, which may be
+ * called from any thread.
+ */
+public final class DeploymentWatch {
+  /** Entries that lapsed with the store away are back within 2 s of its return. */
+  private static final long REENTRY_MS = 2_000;
+
+  private static final System.Logger LOG = System.getLogger(DeploymentWatch.class.getName());
+
+  private final DeploymentCodec codec;
+  private final EventLoop loop;
+  private final TableWatch operators;
+  private final TableWatch endpoints;
+  private final TableWatch control;
+  private final Runnable onChange;
+  private final Map<String, Endpoint> listed = new HashMap<>();
+  private final Map<String, Integer> namedVersions = new HashMap<>();
+  private final Map<String, Owner> owners = new HashMap<>();
+  private Manifest manifest;
+  private WeightPlan weights = WeightPlan.EMPTY;
+  private boolean endpointsRead;
+  private boolean controlRead;
+  private volatile DeploymentView view = DeploymentView.EMPTY;
+
+  /**
+   * Creates a watch.
+   *
+   * @param store the store, which answers on the loop
+   * @param codec reads what others write
+   * @param loop the control loop
+   * @param onChange called on the loop after each change
+   */
+  public DeploymentWatch(
+      PartitionedStore store, DeploymentCodec codec, EventLoop loop, Runnable onChange) {
+    this.codec = codec;
+    this.loop = loop;
+    this.onChange = onChange;
+    this.operators = new TableWatch(store, codec.operatorTable(), false, loop, new Operators());
+    this.endpoints = new TableWatch(store, codec.endpointTable(), false, loop, new Endpoints());
+    this.control = new TableWatch(store, ControlTables.CONTROL, true, loop, new Control());
+  }
+
+  /** Starts to follow the tables. */
+  public void start() {
+    operators.start();
+    endpoints.start();
+    control.start();
+  }
+
+  /** Stops following. */
+  public void stop() {
+    operators.stop();
+    endpoints.stop();
+    control.stop();
+  }
+
+  /** Returns what is known. */
+  public DeploymentView view() {
+    return view;
+  }
+
+  /** Returns whether all tables were read once. */
+  public boolean isComplete() {
+    return view.manifest().isPresent() && endpointsRead && controlRead;
+  }
+
+  /** Returns the time in milliseconds since the manifest was last known to be the newest. */
+  public long manifestAgeMs() {
+    return age(operators.confirmedAtMs());
+  }
+
+  /** Returns the time in milliseconds since the owners were last known to be right. */
+  public long ownersAgeMs() {
+    return age(control.confirmedAtMs());
+  }
+
+  private static long age(long confirmedAtMs) {
+    return confirmedAtMs == Long.MIN_VALUE
+        ? Long.MAX_VALUE
+        : MonotonicClock.nowMs() - confirmedAtMs;
+  }
+
+  private void publish() {
+    view =
+        new DeploymentView(
+            Optional.ofNullable(manifest),
+            new Fleet(listed.values()),
+            namedVersions,
+            weights,
+            owners);
+    onChange.run();
+  }
+
+  private void unreadable(Row row, IllegalArgumentException e) {
+    LOG.log(
+        System.Logger.Level.WARNING,
+        LogEvent.of("row-unreadable")
+            .with("table", row.table())
+            .with("key", row.key())
+            .with("version", row.version())
+            .with("reason", e.getMessage()));
+  }
+
+  /** Takes manifests and named versions. */
+  private final class Operators implements TableWatch.Listener {
+    @Override
+    public void onSnapshot(List<Row> rows) {
+      onChanges(rows);
+    }
+
+    @Override
+    public void onChanges(List<Row> rows) {
+      for (Row row : rows) {
+        if (!row.isRemoved()) {
+          take(row);
+        }
+      }
+      publish();
+    }
+
+    private void take(Row row) {
+      try {
+        codec.manifest(row).ifPresent(this::take);
+        codec
+            .namedVersion(row)
+            .ifPresent(named -> namedVersions.merge(named.model(), named.version(), Math::max));
+      } catch (IllegalArgumentException e) {
+        unreadable(row, e);
+      }
+    }
+
+    private void take(Manifest next) {
+      if (manifest == null || next.version() > manifest.version()) {
+        LOG.log(
+            System.Logger.Level.INFO,
+            LogEvent.of("manifest-taken")
+                .with("version", next.version())
+                .with("before", manifest == null ? 0 : manifest.version()));
+        manifest = next;
+      }
+    }
+  }
+
+  /** Takes the list of endpoints. */
+  private final class Endpoints implements TableWatch.Listener {
+    @Override
+    public void onSnapshot(List<Row> rows) {
+      Map<String, Endpoint> before = new HashMap<>(listed);
+      listed.clear();
+      rows.forEach(this::take);
+      before.forEach((id, endpoint) -> keepIfLapsed(id, endpoint));
+      endpointsRead = true;
+      publish();
+    }
+
+    @Override
+    public void onChanges(List<Row> rows) {
+      for (Row row : rows) {
+        Endpoint before = listed.get(row.key());
+        if (!row.isRemoved()) {
+          take(row);
+        } else if (before != null) {
+          listed.remove(row.key());
+          keepIfLapsed(row.key(), before);
+        }
+      }
+      publish();
+    }
+
+    private void keepIfLapsed(String id, Endpoint endpoint) {
+      long regainedAtMs = endpoints.regainedAtMs();
+      long restMs =
+          regainedAtMs == Long.MIN_VALUE ? 0 : regainedAtMs + REENTRY_MS - MonotonicClock.nowMs();
+      if (restMs > 0 && !endpoint.draining() && !listed.containsKey(id)) {
+        listed.put(id, endpoint);
+        loop.schedule(() -> dropUnlessRenewed(id, endpoint), restMs, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void dropUnlessRenewed(String id, Endpoint endpoint) {
+      if (listed.remove(id, endpoint)) {
+        publish();
+      }
+    }
+
+    private void take(Row row) {
+      try {
+        Endpoint endpoint = codec.endpoint(row);
+        Endpoint before = listed.put(row.key(), endpoint);
+        if (before == null || before.draining() != endpoint.draining()) {
+          LOG.log(
+              System.Logger.Level.INFO,
+              LogEvent.of("endpoint-listed")
+                  .with("endpoint", endpoint.id())
+                  .with("service", endpoint.service())
+                  .with("draining", endpoint.draining())
+                  .with("version", row.version()));
+        }
+      } catch (IllegalArgumentException e) {
+        listed.remove(row.key());
+        unreadable(row, e);
+      }
+    }
+  }
+
+  /** Takes owners and the weights' plan. */
+  private final class Control implements TableWatch.Listener {
+    @Override
+    public void onSnapshot(List<Row> rows) {
+      owners.clear();
+      controlRead = true;
+      onChanges(rows);
+    }
+
+    @Override
+    public void onChanges(List<Row> rows) {
+      for (Row row : rows) {
+        try {
+          take(row);
+        } catch (IllegalArgumentException e) {
+          unreadable(row, e);
+        }
+      }
+      publish();
+    }
+
+    private void take(Row row) {
+      switch (row.key()) {
+        case ControlTables.OWNER -> {
+          if (row.isRemoved()) {
+            owners.remove(row.partition());
+          } else {
+            owners.put(row.partition(), ControlTables.readOwner(row));
+          }
+        }
+        case ControlTables.WEIGHTS -> {
+          if (!row.isRemoved()) {
+            weights = ControlTables.readPlan(row);
+          }
+        }
+        default -> {
+          // The lease is read by its holder alone.
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -0,0 +1,418 @@
+package org.sycamoretrack.daemon.version.weights;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.Route;
+import org.sycamoretrack.core.version.routing.RouteKind;
+import org.sycamoretrack.core.version.routing.ServiceSpec;
+import org.sycamoretrack.core.version.weights.LoadPlanner;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
+import org.sycamoretrack.core.version.weights.ModelAssignment;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionWrite;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
+import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.farend.SamplerClient.LoadOrder;
+import org.sycamoretrack.daemon.farend.SamplerClient.OrderAnswer;
+import org.sycamoretrack.daemon.farend.SamplerClient.WeightReport;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.ControlTables;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
+import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * Moves endpoints to the versions that trainers name, while this node holds the {@link OrderLease}.
+ *
+ * <p>A load goes through: plan written to the store, so that no node places items there; the
+ * endpoint's number of accepted orders read; order sent on condition of that number; report read
+ * until the version is served. An order without an answer may be carried out later. It is sent
+ * again on condition of the same number, so that one of the two has no effect.
+ *
+ * <p>Confined to the control loop.
+ */
+public final class OrderHolder {
+  private static final long TICK_MS = 100;
+
+  /** A load takes about a second; asking earlier is in vain. */
+  private static final long FIRST_REPORT_MS = 850;
+
+  private static final long REPORT_INTERVAL_MS = 250;
+
+  /** Several times a load; after this the order is taken as lost and planned anew. */
+  private static final long LOAD_TIMEOUT_MS = 5_000;
+
+  private final PartitionedStore store;
+  private final SamplerClient sampler;
+  private final Supplier<DeploymentView> views;
+  private final EventLoop loop;
+  private final String nodeId;
+  private final OrderLease lease;
+  private final LoadPlanner planner;
+  private final Map<String, Map<String, Integer>> served = new HashMap<>();
+  private final Map<String, Loading> loading = new HashMap<>();
+  private WeightPlan written = WeightPlan.EMPTY;
+  private long planVersion = PartitionWrite.ABSENT;
+  private boolean planKnown;
+  private boolean writing;
+  private long plannedEpoch;
+
+  private static final System.Logger LOG = System.getLogger(OrderHolder.class.getName());
+
+  /**
+   * Creates a holder.
+   *
+   * @param store the store, which answers on the loop
+   * @param sampler gives orders, and answers on the loop
+   * @param views what is known of the deployment
+   * @param loop the control loop
+   * @param nodeId this node
+   * @param incarnation this run of its process
+   * @param maxConcurrentLoads how many endpoints may load at once
+   */
+  public OrderHolder(
+      PartitionedStore store,
+      SamplerClient sampler,
+      Supplier<DeploymentView> views,
+      EventLoop loop,
+      String nodeId,
+      String incarnation,
+      int maxConcurrentLoads) {
+    this.store = store;
+    this.sampler = sampler;
+    this.views = views;
+    this.loop = loop;
+    this.nodeId = nodeId;
+    this.lease = new OrderLease(store, loop, nodeId, incarnation);
+    this.planner = new LoadPlanner(maxConcurrentLoads);
+  }
+
+  /** Starts. */
+  public void start() {
+    lease.start();
+    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sets whether this node tries to take the lease. */
+  public void setCandidate(boolean candidate) {
+    lease.setCandidate(candidate);
+  }
+
+  /** Returns the epoch of the lease, 0 when it isn't held. */
+  public long epoch() {
+    return lease.epoch();
+  }
+
+  /**
+   * Gives the lease back.
+   *
+   * @return done when the store was asked to note it
+   */
+  public CompletionStage<Void> release() {
+    return lease.release();
+  }
+
+  private void tick() {
+    if (!lease.isHeld()) {
+      return;
+    }
+    if (plannedEpoch != lease.epoch()) {
+      plannedEpoch = lease.epoch();
+      planKnown = false;
+      loading.clear();
+      served.clear();
+    }
+    DeploymentView view = views.get();
+    if (view.manifest().isEmpty()) {
+      return;
+    }
+    if (!planKnown) {
+      readPlan();
+      return;
+    }
+    List.copyOf(loading.values()).forEach(load -> load.check(view));
+    Map<String, List<String>> shares = shares(view);
+    if (lease.mayOrder()) {
+      for (Load load : planner.next(targets(view, shares), view.namedVersions())) {
+        Endpoint endpoint = view.fleet().find(load.endpointId());
+        loading.put(load.endpointId(), new Loading(endpoint, load));
+      }
+    }
+    writePlan(plan(shares));
+  }
+
+  private void readPlan() {
+    if (writing) {
+      return;
+    }
+    writing = true;
+    store
+        .scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.WEIGHTS, 1)
+        .whenComplete(
+            Failures.logged(
+                (page, failure) -> {
+                  writing = false;
+                  if (failure != null) {
+                    return;
+                  }
+                  written = WeightPlan.EMPTY;
+                  planVersion = PartitionWrite.ABSENT;
+                  for (Row row : page.rows()) {
+                    if (row.key().equals(ControlTables.WEIGHTS)) {
+                      written = ControlTables.readPlan(row);
+                      planVersion = row.version();
+                    }
+                  }
+                  written
+                      .endpoints()
+                      .forEach((id, weights) -> served.put(id, new HashMap<>(weights.versions())));
+                  planKnown = true;
+                }));
+  }
+
+  private Map<String, List<String>> shares(DeploymentView view) {
+    Map<String, List<String>> shares = new HashMap<>();
+    for (ServiceSpec service : view.manifest().orElseThrow().services().values()) {
+      if (!service.models().isEmpty()) {
+        List<String> ids =
+            view.fleet().inService(service.name()).stream().map(Endpoint::id).toList();
+        shares.putAll(ModelAssignment.assign(service.models(), ids, written.shares()));
+      }
+    }
+    return shares;
+  }
+
+  private int version(Endpoint endpoint, String model) {
+    int known = served.getOrDefault(endpoint.id(), Map.of()).getOrDefault(model, 0);
+    return Math.max(known, endpoint.version(model));
+  }
+
+  private List<Target> targets(DeploymentView view, Map<String, List<String>> shares) {
+    List<Target> targets = new ArrayList<>();
+    shares.forEach(
+        (model, ids) -> {
+          for (String id : ids) {
+            Endpoint endpoint = view.fleet().find(id);
+            if (endpoint != null) {
+              targets.add(new Target(id, model, version(endpoint, model), loading.containsKey(id)));
+            }
+          }
+        });
+    return targets;
+  }
+
+  private WeightPlan plan(Map<String, List<String>> shares) {
+    Map<String, EndpointWeights> endpoints = new HashMap<>();
+    Set<String> assigned = new HashSet<>();
+    shares.values().forEach(assigned::addAll);
+    for (String id : assigned) {
+      Loading load = loading.get(id);
+      List<String> models = load == null ? List.of() : List.of(load.load.model());
+      endpoints.put(id, new EndpointWeights(served.getOrDefault(id, Map.of()), models));
+    }
+    return new WeightPlan(shares, endpoints);
+  }
+
+  private void writePlan(WeightPlan plan) {
+    if (writing || plan.equals(written)) {
+      startPlanned();
+      return;
+    }
+    writing = true;
+    PartitionWrite write =
+        PartitionWrite.in(ControlTables.ORDERS)
+            .expect(ControlTables.CONTROL, ControlTables.WEIGHTS, planVersion)
+            .put(ControlTables.CONTROL, ControlTables.WEIGHTS, ControlTables.write(plan))
+            .build();
+    store
+        .commit(write)
+        .whenComplete(
+            Failures.logged(
+                (result, failure) -> {
+                  writing = false;
+                  if (failure == null && result instanceof WriteResult.Committed committed) {
+                    written = plan;
+                    planVersion = committed.version();
+                    startPlanned();
+                  } else {
+                    planKnown = false;
+                  }
+                }));
+  }
+
+  /** Starts the loads that the written plan tells other nodes of. */
+  private void startPlanned() {
+    for (Loading load : List.copyOf(loading.values())) {
+      EndpointWeights told = written.endpoints().get(load.endpoint.id());
+      if (told != null && told.loading().contains(load.load.model())) {
+        load.start();
+      }
+    }
+  }
+
+  /** Returns whether running texts may go on under new weights of a service's models. */
+  private boolean keepsRuns(String service) {
+    for (Route route : views.get().manifest().orElseThrow().routes()) {
+      boolean sameService =
+          route.services().stream().anyMatch(each -> Objects.equals(each.service(), service));
+      if (sameService && route.kind() == RouteKind.BATCH && route.singleVersion()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** A load that is under way. */
+  private final class Loading {
+    private final Endpoint endpoint;
+    private final Load load;
+    private final long plannedMs = MonotonicClock.nowMs();
+    private boolean started;
+    private boolean asking;
+    private long nextReportMs;
+
+    private Loading(Endpoint endpoint, Load load) {
+      this.endpoint = endpoint;
+      this.load = load;
+    }
+
+    private void start() {
+      if (!started) {
+        started = true;
+        ask(this::order);
+      }
+    }
+
+    private void ask(java.util.function.Consumer<WeightReport> then) {
+      if (asking) {
+        return;
+      }
+      asking = true;
+      sampler
+          .report(endpoint)
+          .whenComplete(
+              Failures.logged(
+                  (report, failure) -> {
+                    asking = false;
+                    nextReportMs = MonotonicClock.nowMs() + REPORT_INTERVAL_MS;
+                    if (failure != null) {
+                      LOG.log(
+                          System.Logger.Level.INFO,
+                          LogEvent.of("report-failed")
+                              .with("endpoint", endpoint.id())
+                              .with("reason", Failures.unwrap(failure).getMessage()));
+                      end("no report");
+                    } else {
+                      report.versions().forEach(this::serves);
+                      then.accept(report);
+                    }
+                  }));
+    }
+
+    private void serves(String model, int version) {
+      served
+          .computeIfAbsent(endpoint.id(), any -> new HashMap<>())
+          .merge(model, version, Math::max);
+    }
+
+    private void order(WeightReport report) {
+      if (report.versions().getOrDefault(load.model(), 0) >= load.version()) {
+        end("served already");
+        return;
+      }
+      if (report.loading()) {
+        return;
+      }
+      if (!lease.mayOrder()) {
+        end("the lease is not held");
+        return;
+      }
+      LoadOrder order =
+          new LoadOrder(
+              load.model(),
+              load.version(),
+              keepsRuns(endpoint.service()),
+              nodeId,
+              lease.epoch(),
+              report.sequence());
+      nextReportMs = MonotonicClock.nowMs() + FIRST_REPORT_MS;
+      sampler
+          .order(endpoint, order)
+          .whenComplete(Failures.logged((answer, failure) -> onAnswer(order, answer, failure)));
+    }
+
+    private void onAnswer(LoadOrder order, OrderAnswer answer, Throwable failure) {
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("order-given")
+              .with("endpoint", endpoint.id())
+              .with("model", order.model())
+              .with("version", order.version())
+              .with("epoch", order.epoch())
+              .with("sequence", order.expectedSequence())
+              .with("outcome", failure == null ? answer : Failures.unwrap(failure).getMessage()));
+      if (failure != null) {
+        return;
+      }
+      switch (answer) {
+        case ACCEPTED, CONFLICT -> {
+          // The report shows what the endpoint does.
+        }
+        case ALREADY_HOLDS -> {
+          serves(order.model(), order.version());
+          end("served already");
+        }
+        case FENCED, REFUSED, OTHER_ENDPOINT -> end("refused");
+      }
+    }
+
+    private void check(DeploymentView view) {
+      long nowMs = MonotonicClock.nowMs();
+      Endpoint listed = view.fleet().find(endpoint.id());
+      if (listed == null || listed.draining() || listed.bornMs() != endpoint.bornMs()) {
+        end("the endpoint left");
+      } else if (version(listed, load.model()) >= load.version()) {
+        end("served");
+      } else if (nowMs - plannedMs > LOAD_TIMEOUT_MS) {
+        end("timed out");
+      } else if (started && nowMs >= nextReportMs) {
+        ask(this::onReport);
+      }
+    }
+
+    private void onReport(WeightReport report) {
+      if (report.versions().getOrDefault(load.model(), 0) >= load.version()) {
+        end("served");
+      } else if (!report.loading()) {
+        order(report);
+      }
+    }
+
+    private void end(String reason) {
+      if (loading.remove(endpoint.id(), this)) {
+        LOG.log(
+            System.Logger.Level.INFO,
+            LogEvent.of("load-ended")
+                .with("endpoint", endpoint.id())
+                .with("model", load.model())
+                .with("version", load.version())
+                .with("elapsedMs", MonotonicClock.nowMs() - plannedMs)
+                .with("reason", reason));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -0,0 +1,193 @@
+package org.sycamoretrack.daemon.version.weights;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.Lease;
+import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.SuspensionGuard;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionWrite;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Page;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.ControlTables;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * The lease on giving orders, kept as a row of the store.
+ *
+ * <p>Endpoints may not check epochs, so a holder gives an order only while it knows that nobody
+ * else does: {@link #mayOrder} measures since the last renewal was sent, by the steady clock and by
+ * the time of day, whichever has gone further, since the steady clock stands still while the host
+ * is suspended. A new holder waits for a whole lease after it took the row before its first order,
+ * so that orders of two holders never come closer than that.
+ *
+ * <p>Confined to the control loop.
+ */
+final class OrderLease {
+  /** The holder stops 1.4 s after its last renewal; others take over after 2.4 s without one. */
+  private static final LeaseTimes TIMES = new LeaseTimes(1_900, 500, 500, 200);
+
+  /** Endpoints take orders of two holders within 3 s as taking turns; with a tenth more. */
+  private static final long TURN_MS = 3_300;
+
+  /** What has passed of {@link #TURN_MS} when a lease that ran out is taken. */
+  private static final long LAPSED_MS = TIMES.takeOverAfterMs() - holdMs();
+
+  private static final long TICK_MS = 100;
+  private static final System.Logger LOG = System.getLogger(OrderLease.class.getName());
+
+  private final PartitionedStore store;
+  private final EventLoop loop;
+  private final String nodeId;
+  private final Lease lease;
+  private final SuspensionGuard guard = new SuspensionGuard();
+  private long sentSteadyMs;
+  private long sentTimeOfDayMs;
+  private long heldEpoch;
+  private long takenAtMs;
+  private boolean givenBack = true;
+  private boolean candidate;
+
+  OrderLease(PartitionedStore store, EventLoop loop, String nodeId, String incarnation) {
+    this.store = store;
+    this.loop = loop;
+    this.nodeId = nodeId;
+    this.lease = new Lease(TIMES, incarnation);
+  }
+
+  private static long holdMs() {
+    return TIMES.ttlMs() - TIMES.pauseMarginMs();
+  }
+
+  /** Starts to renew the lease when it is held, and to take it while this node is a candidate. */
+  void start() {
+    loop.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sets whether this node tries to take the lease; with many nodes, only a few need to. */
+  void setCandidate(boolean isCandidate) {
+    candidate = isCandidate;
+  }
+
+  /** Returns the epoch, 0 when the lease isn't held. */
+  long epoch() {
+    return lease.epoch();
+  }
+
+  /** Returns whether this node holds the lease, so that it may plan. */
+  boolean isHeld() {
+    long elapsedMs = guard.elapsedMs(MonotonicClock.nowMs(), System.currentTimeMillis());
+    return lease.epoch() > 0 && elapsedMs < holdMs();
+  }
+
+  /** Returns whether an order may be sent now. */
+  boolean mayOrder() {
+    long delayMs = givenBack ? TURN_MS : TURN_MS - LAPSED_MS;
+    return isHeld() && MonotonicClock.nowMs() - takenAtMs >= delayMs;
+  }
+
+  /**
+   * Gives the lease back.
+   *
+   * @return done when the store was asked to note it
+   */
+  CompletionStage<Void> release() {
+    lease.release();
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    tick();
+    loop.schedule(() -> done.complete(null), 2 * TICK_MS, TimeUnit.MILLISECONDS);
+    return done;
+  }
+
+  private void tick() {
+    if (!candidate && lease.epoch() == 0) {
+      return;
+    }
+    switch (lease.next(MonotonicClock.nowMs())) {
+      case Lease.Command.Wait waiting -> {
+        // Nothing is due.
+      }
+      case Lease.Command.Read reading -> read();
+      case Lease.Command.Write writing -> write(writing.row());
+    }
+    noteEpoch();
+  }
+
+  private void noteEpoch() {
+    if (lease.epoch() != heldEpoch) {
+      heldEpoch = lease.epoch();
+      takenAtMs = MonotonicClock.nowMs();
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of(heldEpoch > 0 ? "order-lease-taken" : "order-lease-lost")
+              .with("epoch", heldEpoch));
+    }
+  }
+
+  private void read() {
+    store
+        .scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.LEASE, 1)
+        .whenComplete(
+            Failures.logged(
+                (page, failure) -> {
+                  if (failure != null) {
+                    lease.onReadFailed(MonotonicClock.nowMs());
+                  } else {
+                    Lease.Row found = find(page);
+                    if (lease.epoch() == 0) {
+                      givenBack = found.released();
+                    }
+                    lease.onRead(found, MonotonicClock.nowMs());
+                    noteEpoch();
+                  }
+                }));
+  }
+
+  private static Lease.Row find(Page page) {
+    for (Row row : page.rows()) {
+      if (row.key().equals(ControlTables.LEASE)) {
+        return ControlTables.readLease(row);
+      }
+    }
+    return Lease.Row.NONE;
+  }
+
+  private void write(Lease.Row row) {
+    sentSteadyMs = MonotonicClock.nowMs();
+    sentTimeOfDayMs = System.currentTimeMillis();
+    PartitionWrite write =
+        PartitionWrite.in(ControlTables.ORDERS)
+            .expect(ControlTables.CONTROL, ControlTables.LEASE, row.version())
+            .put(ControlTables.CONTROL, ControlTables.LEASE, ControlTables.write(row, nodeId))
+            .build();
+    store
+        .commit(write)
+        .whenComplete(
+            Failures.logged(
+                (result, failure) -> {
+                  if (failure != null) {
+                    if (Failures.outcome(failure) == Outcome.NOT_RUN) {
+                      lease.onRefused(MonotonicClock.nowMs());
+                    } else {
+                      lease.onUnsettled(MonotonicClock.nowMs());
+                    }
+                  } else {
+                    switch (result) {
+                      case WriteResult.Committed committed -> {
+                        guard.mark(sentSteadyMs, sentTimeOfDayMs);
+                        lease.onWritten(committed.version());
+                      }
+                      case WriteResult.Conflict conflict ->
+                          lease.onUnsettled(MonotonicClock.nowMs());
+                    }
+                  }
+                  noteEpoch();
+                }));
+  }
+}
--- a/daemon/src/test/java/org/sycamoretrack/daemon/platform/FakeTableStore.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/farend/FakeTableStore.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/daemon/src/test/java/org/sycamoretrack/daemon/platform/ObjectStoreContractTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/farend/ObjectStoreContractTest.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.platform;
+package org.sycamoretrack.daemon.farend;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/LeaseServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/LeaseServiceTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sycamoretrack.core.process.LeaseTimes;
-import org.sycamoretrack.daemon.platform.FakeTableStore;
-import org.sycamoretrack.daemon.platform.FakeTableStore.Fate;
+import org.sycamoretrack.daemon.farend.FakeTableStore;
+import org.sycamoretrack.daemon.farend.FakeTableStore.Fate;
 
 /** Tests of {@link LeaseService}: two processes and a table service with faults. */
 class LeaseServiceTest {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/OperatorApiTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/OperatorApiTest.java
@@ -21,7 +21,7 @@
 import org.sycamoretrack.core.process.MembershipView;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
-import org.sycamoretrack.daemon.platform.HttpTableStore;
+import org.sycamoretrack.daemon.farend.HttpTableStore;
 import org.sycamoretrack.daemon.version.ConfigurationService;
 import org.sycamoretrack.standins.process.PlatformStandin;
 import org.sycamoretrack.transport.connection.EventLoops;
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangePropertyTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangePropertyTest.java
@@ -13,8 +13,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import org.sycamoretrack.daemon.platform.FakeTableStore;
-import org.sycamoretrack.daemon.platform.FakeTableStore.Fate;
+import org.sycamoretrack.daemon.farend.FakeTableStore;
+import org.sycamoretrack.daemon.farend.FakeTableStore.Fate;
 
 /**
  * Runs three nodes that share a key range through random interleavings of claims, outcomes, table
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangeTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimRangeTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sycamoretrack.core.process.ErrorCode;
-import org.sycamoretrack.daemon.platform.FakeTableStore;
-import org.sycamoretrack.daemon.platform.FakeTableStore.Fate;
+import org.sycamoretrack.daemon.farend.FakeTableStore;
+import org.sycamoretrack.daemon.farend.FakeTableStore.Fate;
 
 /** Named cases of failure of a key range that two nodes share. */
 class ClaimRangeTest {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/EngineFixture.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/EngineFixture.java
@@ -10,7 +10,7 @@
 import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.core.request.VersionSpan;
 import org.sycamoretrack.core.request.VersionSpans;
-import org.sycamoretrack.daemon.platform.HttpEngineClient;
+import org.sycamoretrack.daemon.farend.HttpEngineClient;
 import org.sycamoretrack.daemon.process.Metrics;
 import org.sycamoretrack.daemon.process.NodeLimits;
 import org.sycamoretrack.daemon.process.SettingsReader;
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/SampleJournalTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/SampleJournalTest.java
@@ -19,7 +19,7 @@
 import org.sycamoretrack.core.request.StepId;
 import org.sycamoretrack.core.request.StepSpec;
 import org.sycamoretrack.core.request.VersionSpan;
-import org.sycamoretrack.daemon.platform.ObjectStore;
+import org.sycamoretrack.daemon.farend.ObjectStore;
 
 /** Tests of {@link SampleJournal} over an object store in memory that can be out. */
 class SampleJournalTest {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeEngines.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeEngines.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
-import org.sycamoretrack.daemon.platform.CompletionRequest;
-import org.sycamoretrack.daemon.platform.EngineClient;
-import org.sycamoretrack.daemon.platform.EngineListener;
+import org.sycamoretrack.daemon.farend.CompletionRequest;
+import org.sycamoretrack.daemon.farend.EngineClient;
+import org.sycamoretrack.daemon.farend.EngineListener;
 import org.sycamoretrack.transport.request.HttpCall;
 
 /** Engines that answer at once and load at once, and note who ordered what and when. */
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeTable.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/FakeTable.java
@@ -10,9 +10,9 @@
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.Transaction;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.Transaction;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /** A table service that answers at once, or loses the answers of writes. */
 final class FakeTable implements TableStore {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/MemoryTable.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/MemoryTable.java
@@ -12,9 +12,9 @@
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
-import org.sycamoretrack.daemon.platform.TableStore;
-import org.sycamoretrack.daemon.platform.Transaction;
-import org.sycamoretrack.daemon.platform.TransactionResult;
+import org.sycamoretrack.daemon.farend.TableStore;
+import org.sycamoretrack.daemon.farend.Transaction;
+import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /** A table in memory, seen by each node through a client of its own that can fail. */
 final class MemoryTable {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/WeightRolloutServiceTest.java
@@ -23,7 +23,7 @@
 import org.sycamoretrack.core.version.Resource;
 import org.sycamoretrack.core.version.ResourceSpec;
 import org.sycamoretrack.core.version.RolloutTimes;
-import org.sycamoretrack.daemon.platform.WeightStore;
+import org.sycamoretrack.daemon.farend.WeightStore;
 import org.sycamoretrack.daemon.process.ControlInbox;
 import org.sycamoretrack.daemon.process.LeaseService;
 
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/AnswerCollector.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/AnswerCollector.java
@@ -8,24 +8,31 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpCall;
 import org.sycamoretrack.transport.request.HttpFailure;
 import org.sycamoretrack.transport.request.HttpResponseListener;
 
 /** Collects the parts of an answer, up to a limit. */
 final class AnswerCollector implements HttpResponseListener {
-  private final CompletableFuture<HttpAnswer> future;
+  private final BiConsumer<HttpAnswer, HttpFailure> onOutcome;
   private final int maxBytes;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final Map<String, String> headers = new HashMap<>();
+  private HttpCall call;
   private int status;
+  private boolean finished;
 
-  AnswerCollector(CompletableFuture<HttpAnswer> future, int maxBytes) {
-    this.future = future;
+  AnswerCollector(BiConsumer<HttpAnswer, HttpFailure> onOutcome, int maxBytes) {
+    this.onOutcome = onOutcome;
     this.maxBytes = maxBytes;
   }
 
+  void setCall(HttpCall call) {
+    this.call = call;
+  }
+
   @Override
   public void onHead(int status, HttpHeaders headers) {
     this.status = status;
@@ -36,8 +43,10 @@
   @Override
   public void onBody(ByteBuf part) {
     if (body.size() + part.readableBytes() > maxBytes) {
-      future.completeExceptionally(
+      finish(
+          null,
           new HttpFailure(HttpFailure.Kind.TOO_LARGE, true, "the answer is over " + maxBytes));
+      call.cancel();
       return;
     }
     try {
@@ -49,11 +58,18 @@
 
   @Override
   public void onEnd() {
-    future.complete(new HttpAnswer(status, Map.copyOf(headers), body.toByteArray()));
+    finish(new HttpAnswer(status, Map.copyOf(headers), body.toByteArray()), null);
   }
 
   @Override
   public void onFailure(HttpFailure failure) {
-    future.completeExceptionally(failure);
+    finish(null, failure);
+  }
+
+  private void finish(HttpAnswer answer, HttpFailure failure) {
+    if (!finished) {
+      finished = true;
+      onOutcome.accept(answer, failure);
+    }
   }
 }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -74,9 +74,10 @@
             Unpooled.wrappedBuffer(request.body()));
     request.headers().forEach(message.headers()::set);
     InetSocketAddress address = request.address();
-    message
-        .headers()
-        .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+    if (!message.headers().contains(HttpHeaderNames.HOST)) {
+      String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+      message.headers().set(HttpHeaderNames.HOST, host);
+    }
     if (request.body().length > 0 || !request.method().equals("GET")) {
       message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientExchange.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientExchange.java
@@ -18,6 +18,7 @@
   private final HttpRequest request;
   private final HttpResponseListener listener;
   private final EventLoop loop;
+  private final Runnable onTimeout;
   private final ScheduledFuture<?> deadline;
   private ScheduledFuture<?> idleTimer;
   private long lastReadNanos;
@@ -25,7 +26,9 @@
   private boolean maybeSent;
   private boolean finished;
 
-  ClientExchange(HttpRequest request, HttpResponseListener listener, EventLoop loop) {
+  ClientExchange(
+      HttpRequest request, HttpResponseListener listener, EventLoop loop, Runnable onTimeout) {
+    this.onTimeout = onTimeout;
     this.request = request;
     this.listener = listener;
     this.loop = loop;
@@ -80,6 +83,9 @@
   }
 
   private void timeOut(String message) {
+    if (maybeSent && !finished) {
+      onTimeout.run();
+    }
     fail(new HttpFailure(HttpFailure.Kind.TIMED_OUT, maybeSent, message));
   }
 
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -14,9 +14,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
 import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpCall;
 import org.sycamoretrack.transport.request.HttpFailure;
@@ -71,7 +73,8 @@
    * @return the call
    */
   public HttpCall send(HttpRequest request, HttpResponseListener listener, EventLoop loop) {
-    ClientExchange exchange = new ClientExchange(request, listener, loop);
+    ClientExchange exchange =
+        new ClientExchange(request, listener, loop, () -> closeIdle(loop, request.address()));
     if (loop.inEventLoop()) {
       start(exchange, loop);
     } else {
@@ -88,7 +91,16 @@
    */
   public CompletableFuture<HttpAnswer> call(HttpRequest request) {
     CompletableFuture<HttpAnswer> future = new CompletableFuture<>();
-    HttpCall call = send(request, new AnswerCollector(future, DEFAULT_MAX_ANSWER_BYTES));
+    HttpCall call =
+        collect(
+            request,
+            (answer, failure) -> {
+              if (failure == null) {
+                future.complete(answer);
+              } else {
+                future.completeExceptionally(failure);
+              }
+            });
     future.whenComplete(
         (answer, failure) -> {
           if (failure != null) {
@@ -98,6 +110,30 @@
     return future;
   }
 
+  /**
+   * Sends a request and collects its answer. Unlike {@link #call}, it lets the sender cancel.
+   *
+   * @param request the request
+   * @param onOutcome receives the answer, or else the failure, on the event loop
+   * @return the call
+   */
+  public HttpCall collect(HttpRequest request, BiConsumer<HttpAnswer, HttpFailure> onOutcome) {
+    AnswerCollector collector = new AnswerCollector(onOutcome, DEFAULT_MAX_ANSWER_BYTES);
+    HttpCall call = send(request, collector);
+    collector.setCall(call);
+    return call;
+  }
+
+  /**
+   * Closes the idle connections to an address. One of them that went silent without being closed is
+   * seldom alone, so a call that timed out is followed by calls on new connections.
+   */
+  void closeIdle(EventLoop loop, InetSocketAddress address) {
+    Deque<ClientConnection> connections = idleConnections(loop, address);
+    List.copyOf(connections).forEach(ClientConnection::close);
+    connections.clear();
+  }
+
   private void start(ClientExchange exchange, EventLoop loop) {
     if (exchange.isFinished()) {
       return;
