--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
@@ -0,0 +1,93 @@
+package org.sycamoretrack.core.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.version.fleet.Endpoint;
+
+/** Tests of {@link SlotPlacement} and {@link SlotLedger}. */
+class SlotPlacementTest {
+  private final SlotLedger ledger = new SlotLedger();
+  private final SlotPlacement placement = new SlotPlacement(ledger, "near");
+
+  private static Endpoint endpoint(String id, String zone) {
+    return new Endpoint(id, "s", new InetSocketAddress(1), zone, 4, false, 0, Map.of());
+  }
+
+  private final Endpoint near = endpoint("near-1", "near");
+  private final Endpoint far = endpoint("far-1", "far");
+  private final List<Endpoint> both = List.of(far, near);
+
+  private void fill(Endpoint endpoint, int requests) {
+    for (int i = 0; i < requests; i++) {
+      ledger.onSent(endpoint.id());
+    }
+  }
+
+  @Test
+  void prefersTheOwnZoneUntilASlotMoreIsTakenThere() {
+    assertThat(placement.chooseFree(both, Set.of(), 0)).isEqualTo(near);
+    fill(near, 1);
+    assertThat(placement.chooseFree(both, Set.of(), 0)).isEqualTo(far);
+  }
+
+  @Test
+  void neverFillsAnEndpointBeyondItsSlots() {
+    fill(near, 4);
+    fill(far, 4);
+    assertThat(placement.chooseFree(both, Set.of(), 0)).isNull();
+    assertThat(placement.chooseAny(both, 0)).isEqualTo(near);
+    ledger.onEnded(far.id());
+    assertThat(placement.chooseFree(both, Set.of(), 0)).isEqualTo(far);
+  }
+
+  @Test
+  void countsTheLoadOfOtherNodesWhileTheReportIsFresh() {
+    ledger.onReport(near.id(), 4, 0, 1_000);
+    assertThat(placement.chooseFree(List.of(near), Set.of(), 1_500)).isNull();
+    assertThat(placement.chooseFree(List.of(near), Set.of(), 2_001)).isEqualTo(near);
+  }
+
+  @Test
+  void ownRequestsAreNotCountedTwice() {
+    fill(near, 3);
+    ledger.onReport(near.id(), 3, 0, 1_000);
+    assertThat(ledger.load(near.id(), 1_000)).isEqualTo(3);
+  }
+
+  @Test
+  void keepsAGroupTogetherUnlessThatCostsTooMuch() {
+    fill(far, 1);
+    Endpoint other = endpoint("far-2", "far");
+    List<Endpoint> remote = List.of(far, other);
+    assertThat(placement.chooseFree(remote, Set.of(far.id()), 0)).isEqualTo(other);
+    ledger.onEnded(far.id());
+    assertThat(placement.chooseFree(remote, Set.of(other.id()), 0)).isEqualTo(other);
+  }
+
+  @Test
+  void avoidsAnEndpointThatRefusedForAWhile() {
+    ledger.onRefused(near.id(), 500);
+    assertThat(placement.chooseFree(both, Set.of(), 499)).isEqualTo(far);
+    assertThat(placement.chooseFree(both, Set.of(), 500)).isEqualTo(near);
+  }
+
+  @Test
+  void avoidsAnEndpointThatHasTurnedSlow() {
+    Endpoint third = endpoint("far-2", "far");
+    for (int i = 0; i < 20; i++) {
+      ledger.onEvent(near.id(), 160, 1_000);
+      ledger.onEvent(far.id(), 40, 1_000);
+      ledger.onEvent(third.id(), 40, 1_000);
+    }
+    fill(far, 1);
+    fill(third, 1);
+    assertThat(ledger.slowness(near.id(), 1_000)).isEqualTo(4);
+    assertThat(placement.chooseFree(List.of(near, far, third), Set.of(), 1_000)).isEqualTo(far);
+    assertThat(ledger.slowness(near.id(), 5_000)).as("after a while without events").isEqualTo(1);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/process/SuspensionGuardTest.java
@@ -0,0 +1,24 @@
+package org.sycamoretrack.core.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of {@link SuspensionGuard}. */
+class SuspensionGuardTest {
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "both clocks go on, 1500, 51500, 500",
+    "suspended for 4 s, 1100, 55100, 4100",
+    "time of day set back, 1500, 40000, 500",
+    "time of day set forward, 1100, 53100, 2100"
+  })
+  void takesTheClockThatHasGoneFurther(
+      String what, long steadyMs, long timeOfDayMs, long expectedMs) {
+    SuspensionGuard guard = new SuspensionGuard();
+    guard.mark(1_000, 51_000);
+
+    assertThat(guard.elapsedMs(steadyMs, timeOfDayMs)).as(what).isEqualTo(expectedMs);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
@@ -0,0 +1,77 @@
+package org.sycamoretrack.core.process.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link NodeTable}. */
+class NodeTableTest {
+  private static NodeRecord node(String id, String incarnation, boolean leaving) {
+    return new NodeRecord(id, incarnation, "z", "", 0, leaving);
+  }
+
+  private final NodeTable table = new NodeTable(1_000);
+
+  @Test
+  void aNodeDiesWhenItsRowStaysUnchanged() {
+    NodeRecord node = node("a", "1", false);
+    table.onRead(Map.of(node, 5L), 0, 10);
+    table.onRead(Map.of(node, 5L), 900, 910);
+    assertThat(table.isServing("a", "1")).isTrue();
+
+    table.onRead(Map.of(node, 5L), 1_010, 1_020);
+    assertThat(table.isServing("a", "1")).isFalse();
+
+    table.onRead(Map.of(node, 6L), 1_100, 1_110);
+    assertThat(table.isServing("a", "1")).isTrue();
+  }
+
+  @Test
+  void aTimeWithoutReadsProvesNothing() {
+    NodeRecord node = node("a", "1", false);
+    table.onRead(Map.of(node, 5L), 0, 10);
+
+    table.onRead(Map.of(node, 6L), 60_000, 60_010);
+
+    assertThat(table.isServing("a", "1")).isTrue();
+  }
+
+  @Test
+  void anEarlierRunOfANodeServesNothing() {
+    table.onRead(Map.of(node("a", "2", false), 5L), 0, 10);
+
+    assertThat(table.isServing("a", "1")).isFalse();
+    assertThat(table.isServing("a", "2")).isTrue();
+    assertThat(table.isServing("b", "1")).isFalse();
+  }
+
+  @Test
+  void aLeavingNodeServesNothingAndTakesNothingOver() {
+    table.onRead(Map.of(node("a", "1", true), 5L, node("b", "1", false), 6L), 0, 10);
+
+    assertThat(table.isServing("a", "1")).isFalse();
+    assertThat(table.takeoverRank("b", "orphan")).isZero();
+    assertThat(table.takeoverRank("a", "orphan")).isEqualTo(1);
+  }
+
+  @Test
+  void eachNodeHasAnotherRankAndOrphansAreSpread() {
+    List<String> ids = List.of("a", "b", "c", "d");
+    table.onRead(
+        ids.stream().collect(Collectors.toMap(id -> node(id, "1", false), id -> 1L)), 0, 10);
+
+    Set<String> firsts = new HashSet<>();
+    for (int i = 0; i < 50; i++) {
+      String orphan = "orphan" + i;
+      assertThat(ids.stream().map(id -> table.takeoverRank(id, orphan)))
+          .containsExactlyInAnyOrder(0, 1, 2, 3);
+      ids.stream().filter(id -> table.takeoverRank(id, orphan) == 0).forEach(firsts::add);
+    }
+    assertThat(firsts).hasSize(4);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/version/weights/LoadPlannerTest.java
@@ -0,0 +1,52 @@
+package org.sycamoretrack.core.version.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
+
+/** Tests of {@link LoadPlanner}. */
+class LoadPlannerTest {
+  /** Reads {@code m3 m3* n2} as endpoints a, b, c of models m, m and n; a star means loading. */
+  private static List<Target> targets(String text) {
+    List<Target> targets = new ArrayList<>();
+    for (String each : text.split(" ", -1)) {
+      String id = String.valueOf((char) ('a' + targets.size()));
+      int version = Integer.parseInt(each.substring(1).replace("*", ""));
+      targets.add(new Target(id, each.substring(0, 1), version, each.endsWith("*")));
+    }
+    return targets;
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    // Nothing to do.
+    "m3 m3 n2 n2, ''",
+    // Half of a share at once.
+    "m2 m2 m2 m2 n2, 'a b'",
+    "m2 m2 m2 n2 n2, 'a'",
+    // The last half waits for the first.
+    "m2* m2* m2 m2 n2, ''",
+    "m3 m2* m2 m2 n2, 'c'",
+    // The one that is furthest behind goes first.
+    "m2 m1 m2 n2 n2, 'b'",
+    // A lone endpoint loads too.
+    "m2 n2, 'a'",
+    // Two models share what may load at once, those furthest behind first.
+    "m2 m2 m2 m2 n1 n1 n1 n1, 'a b'",
+    "m2 m2 n0 n0, 'a c'"
+  })
+  void loadsHalfOfAShareAtOnce(String endpoints, String expected) {
+    List<Load> loads = new LoadPlanner(2).next(targets(endpoints), Map.of("m", 3, "n", 2));
+
+    assertThat(loads.stream().map(Load::endpointId).sorted().toList())
+        .isEqualTo(Arrays.stream(expected.split(" ", -1)).filter(each -> !each.isEmpty()).toList());
+    assertThat(loads).allMatch(load -> load.version() == (load.model().equals("m") ? 3 : 2));
+  }
+}
