Count the death of an endpoint once when several nodes see it

Cause: each node that runs requests on an endpoint names its death by itself. Two owners of one endpoint, one in each zone, charged a request twice for one crash, and the samples of a group share a fingerprint: a crash quarantined 22 innocent samples (log of EngineCrashTest: endpoint-died at two nodes, then sample-failed quarantined). Change: a charge carries the endpoint and the observer; deaths of one endpoint that different nodes saw within a second are one. Ruled out: one death for an endpoint within a second whoever saw it, which made the poison of the property test cost four endpoints in place of two.

--- a/core/src/main/java/org/sycamoretrack/core/request/PoisonRegistry.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/PoisonRegistry.java
@@ -24,11 +24,17 @@
  * c run alone of their kind and are cleared.
  *
  * <p>Charges name the death, so that charges from other nodes can be merged in any order and any
- * number of times. Not thread-safe.
+ * number of times. Several nodes may see one death of an endpoint, each under a name of its own;
+ * deaths of one endpoint that different nodes saw less than {@value #SAME_DEATH_MS} ms apart are
+ * one. Not thread-safe.
  */
 public final class PoisonRegistry {
   private static final int CHARGES_TO_QUARANTINE = 2;
 
+  /** An endpoint that died needs longer to start again, and nodes see its death within this. */
+  private static final long SAME_DEATH_MS = 1_000;
+
+  private final String nodeId;
   private final long quarantineMs;
   private final long chargeTtlMs;
   private final Map<String, Charges> chargesByFingerprint = new HashMap<>();
@@ -48,10 +54,19 @@
    * A charge as nodes tell it to each other.
    *
    * @param fingerprint the fingerprint of the request
-   * @param deathId names the death, unique among all nodes
+   * @param endpoint the endpoint that died
+   * @param observer the node that saw it die
+   * @param deathId names the death as that node saw it, unique among all nodes
    * @param atMs when the endpoint died
    */
-  public record Charge(String fingerprint, String deathId, long atMs) {}
+  public record Charge(
+      String fingerprint, String endpoint, String observer, String deathId, long atMs) {
+    private boolean isSameDeathSeenByAnother(Charge other) {
+      return endpoint.equals(other.endpoint)
+          && !observer.equals(other.observer)
+          && Math.abs(atMs - other.atMs) < SAME_DEATH_MS;
+    }
+  }
 
   /**
    * Creates an empty registry.
@@ -60,6 +75,18 @@
    * @param chargeTtlMs how long a single charge counts
    */
   public PoisonRegistry(long quarantineMs, long chargeTtlMs) {
+    this("", quarantineMs, chargeTtlMs);
+  }
+
+  /**
+   * Creates an empty registry of a node among others.
+   *
+   * @param nodeId the node, which sees deaths of endpoints as others do
+   * @param quarantineMs how long a quarantine lasts after the last charge
+   * @param chargeTtlMs how long a single charge counts
+   */
+  public PoisonRegistry(String nodeId, long quarantineMs, long chargeTtlMs) {
+    this.nodeId = nodeId;
     this.quarantineMs = quarantineMs;
     this.chargeTtlMs = chargeTtlMs;
   }
@@ -138,7 +165,7 @@
     Set<String> charged = new HashSet<>(running.keySet());
     List<Charge> charges = new ArrayList<>();
     for (String fingerprint : charged) {
-      Charge charge = new Charge(fingerprint, deathId, nowMs);
+      Charge charge = new Charge(fingerprint, endpoint, nodeId, deathId, nowMs);
       merge(charge);
       charges.add(charge);
     }
@@ -153,7 +180,13 @@
   public void merge(Charge charge) {
     Charges charges =
         chargesByFingerprint.computeIfAbsent(charge.fingerprint(), key -> new Charges());
-    if (charges.deathIds.size() < CHARGES_TO_QUARANTINE && charges.deathIds.add(charge.deathId())) {
+    boolean counts =
+        charges.deathIds.size() < CHARGES_TO_QUARANTINE
+            && !charges.deathIds.contains(charge.deathId())
+            && charges.deaths.stream().noneMatch(charge::isSameDeathSeenByAnother);
+    if (counts) {
+      charges.deathIds.add(charge.deathId());
+      charges.deaths.add(charge);
       charges.lastAtMs = Math.max(charges.lastAtMs, charge.atMs());
     }
   }
@@ -214,6 +247,7 @@
 
   private static final class Charges {
     final Set<String> deathIds = new HashSet<>();
+    final List<Charge> deaths = new ArrayList<>();
     long lastAtMs;
   }
 }
--- a/core/src/test/java/org/sycamoretrack/core/request/PoisonRegistryTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/request/PoisonRegistryTest.java
@@ -15,6 +15,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests of {@link PoisonRegistry}. */
 class PoisonRegistryTest {
@@ -56,7 +58,7 @@
     PoisonRegistry.Charge charge = registry.onEndpointDeath("x", "x@1", 0).getFirst();
     registry.merge(charge);
     assertThat(registry.isQuarantined("p", 0)).isFalse();
-    registry.merge(new PoisonRegistry.Charge("p", "y@1", 5));
+    registry.merge(new PoisonRegistry.Charge("p", "y", "b", "y@1", 5));
     assertThat(registry.isQuarantined("p", 5)).isTrue();
   }
 
@@ -64,12 +66,23 @@
   void successOfAnotherRunDoesNotLiftAQuarantine() {
     registry.onStart("p", "x");
     registry.onEndpointDeath("x", "x@1", 0);
-    registry.merge(new PoisonRegistry.Charge("p", "y@1", 5));
+    registry.merge(new PoisonRegistry.Charge("p", "y", "b", "y@1", 5));
     registry.onSuccess("p", "z", 6);
     assertThat(registry.isQuarantined("p", 6)).isTrue();
   }
 
   /** Runs one poison among innocents until all else has ended, on endpoints that die of it only. */
+  @ParameterizedTest
+  @CsvSource({"x, 5, false", "x, 999, false", "x, 1000, true", "y, 5, true"})
+  void aDeathThatTwoNodesSawIsChargedOnce(String endpoint, long atMs, boolean quarantined) {
+    registry.onStart("p", "x");
+    registry.onEndpointDeath("x", "a/x/1", 0);
+
+    registry.merge(new PoisonRegistry.Charge("p", endpoint, "b", "b/" + endpoint + "/1", atMs));
+
+    assertThat(registry.isQuarantined("p", atMs + 1)).isEqualTo(quarantined);
+  }
+
   @Property(tries = 200)
   void onlyThePoisonIsQuarantined(@ForAll long seed) {
     SplittableRandom random = new SplittableRandom(seed);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
@@ -19,7 +19,7 @@
   private static final long CHARGE_TTL_MS = 120_000;
 
   private final String nodeId;
-  private final PoisonRegistry registry = new PoisonRegistry(QUARANTINE_MS, CHARGE_TTL_MS);
+  private final PoisonRegistry registry;
   private final AtomicLong deaths = new AtomicLong();
   private volatile Consumer<PoisonRegistry.Charge> broadcast = charge -> {};
 
@@ -30,6 +30,7 @@
    */
   public PoisonGuard(String nodeId) {
     this.nodeId = nodeId;
+    this.registry = new PoisonRegistry(nodeId, QUARANTINE_MS, CHARGE_TTL_MS);
   }
 
   /**
@@ -82,11 +83,16 @@
   /**
    * Takes over a charge of another node. Its time is that of this node, since clocks differ.
    *
-   * @param fingerprint the fingerprint of the request
-   * @param deathId names the death
+   * @param message the charge
    */
-  public synchronized void merge(String fingerprint, String deathId) {
-    registry.merge(new PoisonRegistry.Charge(fingerprint, deathId, nowMs()));
+  public synchronized void merge(PoisonMessage message) {
+    registry.merge(
+        new PoisonRegistry.Charge(
+            message.fingerprint(),
+            message.endpoint(),
+            message.observer(),
+            message.deathId(),
+            nowMs()));
   }
 
   /** Returns the fingerprints that are quarantined, and drops charges that no longer count. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonMessage.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonMessage.java
@@ -8,9 +8,12 @@
  * Tells that a request was in flight when an endpoint died.
  *
  * @param fingerprint the fingerprint of the request
+ * @param endpoint the endpoint that died
+ * @param observer the node that saw it die
  * @param deathId names the death
  */
-public record PoisonMessage(String fingerprint, String deathId) implements PeerMessage {
+public record PoisonMessage(String fingerprint, String endpoint, String observer, String deathId)
+    implements PeerMessage {
   /** The type on the peer link. */
   public static final String TYPE = "poison.charge";
 
@@ -20,7 +23,11 @@
    * @param fields its fields
    */
   public static PoisonMessage read(FieldReader fields) {
-    return new PoisonMessage(fields.string("fingerprint"), fields.string("deathId"));
+    return new PoisonMessage(
+        fields.string("fingerprint"),
+        fields.string("endpoint"),
+        fields.string("observer"),
+        fields.string("deathId"));
   }
 
   @Override
@@ -30,6 +37,6 @@
 
   @Override
   public void writeFields(FieldWriter out) {
-    out.string("fingerprint", fingerprint).string("deathId", deathId);
+    out.string("fingerprint", fingerprint).string("endpoint", endpoint).string("deathId", deathId);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RequestPath.java
@@ -96,13 +96,13 @@
   private void sharePoison() {
     poison.onCharge(
         charge -> {
-          PoisonMessage message = new PoisonMessage(charge.fingerprint(), charge.deathId());
+          PoisonMessage message =
+              new PoisonMessage(
+                  charge.fingerprint(), charge.endpoint(), charge.observer(), charge.deathId());
           parts.link.connectedPeers().forEach(peer -> parts.link.send(peer, message));
         });
     parts.link.onMessage(
-        PoisonMessage.TYPE,
-        PoisonMessage::read,
-        (from, message) -> poison.merge(message.fingerprint(), message.deathId()));
+        PoisonMessage.TYPE, PoisonMessage::read, (from, message) -> poison.merge(message));
   }
 
   private boolean isModelPool(String pool) {
