--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
@@ -28,6 +28,14 @@
   /** A pace without a new event for this long says nothing about the endpoint now. */
   private static final long PACE_VALID_MS = 3_000;
 
+  /** Pause after the first failure: some runs of a sound endpoint break off now and then. */
+  private static final long FIRST_PAUSE_MS = 60;
+
+  /** Longest pause: an endpoint that crashed is back after some seconds. */
+  private static final long MAX_PAUSE_MS = 2_000;
+
+  private static final int MAX_SHIFT = 8;
+
   private final Map<String, Usage> usages = new HashMap<>();
 
   /** Creates an empty ledger. */
@@ -69,6 +77,25 @@
     usage.pausedUntilMs = Math.max(usage.pausedUntilMs, untilMs);
   }
 
+  /**
+   * Notes that an endpoint broke off a request without any use. Its pause doubles with each such
+   * failure in a row, so that an endpoint that fails fast doesn't draw all work to itself.
+   *
+   * @param endpointId the endpoint
+   * @param nowMs the time now
+   */
+  public void onFailed(String endpointId, long nowMs) {
+    Usage usage = usage(endpointId);
+    long pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS << Math.min(usage.failures, MAX_SHIFT));
+    usage.failures++;
+    onRefused(endpointId, nowMs + pauseMs);
+  }
+
+  /** Notes that an endpoint finished a request. */
+  public void onFinished(String endpointId) {
+    usage(endpointId).failures = 0;
+  }
+
   /**
    * Notes the time between two events of a text.
    *
@@ -151,6 +178,7 @@
     private int others;
     private long reportedAtMs;
     private long pausedUntilMs;
+    private int failures;
     private double paceMs;
     private long paceAtMs;
   }
--- a/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
@@ -76,6 +76,24 @@
     assertThat(placement.chooseFree(both, Set.of(), 500)).isEqualTo(near);
   }
 
+  /** An endpoint that fails at once is always free; without a growing pause it gets all work. */
+  @Test
+  void anEndpointThatFailsFastDoesNotDrawTheWork() {
+    int[] sent = new int[2];
+    for (long nowMs = 0; nowMs < 10_000; nowMs += 10) {
+      Endpoint chosen = placement.chooseFree(both, Set.of(), nowMs);
+      if (chosen.equals(near)) {
+        sent[0]++;
+        ledger.onFailed(near.id(), nowMs);
+      } else {
+        sent[1]++;
+        ledger.onFinished(far.id());
+      }
+    }
+    assertThat(sent[0]).isLessThan(15);
+    assertThat(sent[1]).isGreaterThan(900);
+  }
+
   @Test
   void avoidsAnEndpointThatHasTurnedSlow() {
     Endpoint third = endpoint("far-2", "far");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -47,6 +47,7 @@
   private boolean anyEvent;
   private HttpCall call;
   private String cancelReason;
+  private boolean silent;
   private boolean ended;
 
   ItemRun(BatchRunner runner, BatchScheduler scheduler, ItemProgress item, Endpoint endpoint) {
@@ -75,6 +76,7 @@
   void onTick(long nowMs) {
     long silentMs = nowMs - lastEventMs;
     if (silentMs > (anyEvent ? SILENCE_MS : FIRST_EVENT_MS)) {
+      silent = true;
       abandon("no event for " + silentMs + " ms");
     }
   }
@@ -146,6 +148,7 @@
     long nowMs = MonotonicClock.nowMs();
     ledger.onEnded(endpoint.id());
     if (end == SamplerClient.RunEnd.COMPLETE && cancelReason == null) {
+      ledger.onFinished(endpoint.id());
       runner.finish(item, true, reason);
       return;
     }
@@ -157,18 +160,20 @@
             .with("item", item.item().id())
             .with("endpoint", endpoint.id())
             .with("end", end)
-            .with("event", item.text().lastEvent())
+            .with("lastEvent", item.text().lastEvent())
             .with("elapsedMs", nowMs - startedMs)
             .with("reason", why));
     switch (end) {
       case NOT_RUN -> ledger.onRefused(endpoint.id(), nowMs + REFUSED_PAUSE_MS);
       case UNREACHABLE -> ledger.onRefused(endpoint.id(), nowMs + UNREACHABLE_PAUSE_MS);
-      case INTERRUPTED -> {
-        if (cancelReason != null && cancelReason.startsWith("no event")) {
+      case INTERRUPTED, COMPLETE -> {
+        if (silent) {
           ledger.onRefused(endpoint.id(), nowMs + UNREACHABLE_PAUSE_MS);
+        } else if (!anyEvent) {
+          ledger.onFailed(endpoint.id(), nowMs);
         }
       }
-      case COMPLETE, FAILED, IMPOSSIBLE -> {
+      case FAILED, IMPOSSIBLE -> {
         // The endpoint works.
       }
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -35,7 +35,6 @@
   private static final long RETRY_AFTER_MS = 100;
 
   private static final long REFUSED_PAUSE_MS = 60;
-  private static final long LOST_PAUSE_MS = 250;
   private static final int SERVER_ERROR = 500;
   private static final System.Logger LOG = System.getLogger(ForwardedCall.class.getName());
 
@@ -148,6 +147,7 @@
           lastReason = "endpoint answered " + answered.answer().status();
           goOn(endpoint);
         } else {
+          forwarder.ledger().onFinished(endpoint.id());
           end(new ForwardOutcome.Answered(answered.answer()));
         }
       }
@@ -159,7 +159,7 @@
         goOn(endpoint);
       }
       case Attempt.Lost lost -> {
-        forwarder.ledger().onRefused(endpoint.id(), nowMs + LOST_PAUSE_MS);
+        forwarder.ledger().onFailed(endpoint.id(), nowMs);
         maybeRan = true;
         lastReason = lost.reason();
         goOn(endpoint);
