Use the store over a peer where a node has lost it

Change: reads go over a peer when the straight call fails, writes when it promised that nothing was written; one read in 0.7 s tries the straight way again. Peers are dialled only while needed, those of the own zone first, by the peer link that exists. Ruled out: repeating a write without an answer over a peer by itself, since only the writer knows how to settle it.

--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RelayedStore.java
@@ -0,0 +1,185 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.PathSwitch;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionWrite;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Call;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Reply;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Result;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/**
+ * The store, straight or over a peer.
+ *
+ * <p>A read whose straight call fails is repeated over a peer at once. A write is, too, when the
+ * straight call promised that nothing was written; otherwise its failure is reported, since only
+ * the writer knows how to settle it. While the straight way fails, writes go over a peer only and
+ * reads try it again now and then.
+ *
+ * <p>All stages are completed on the loop.
+ */
+final class RelayedStore implements PartitionedStore {
+  private static final System.Logger LOG = System.getLogger(RelayedStore.class.getName());
+
+  private final PartitionedStore straight;
+  private final StoreRelay relay;
+  private final PathSwitch path;
+  private final EventLoop loop;
+
+  /**
+   * Creates the store.
+   *
+   * @param straight the straight way, which answers on the loop
+   * @param relay the way over peers
+   * @param path which of them works
+   * @param loop the loop
+   */
+  RelayedStore(PartitionedStore straight, StoreRelay relay, PathSwitch path, EventLoop loop) {
+    this.straight = straight;
+    this.relay = relay;
+    this.path = path;
+    this.loop = loop;
+  }
+
+  @Override
+  public CompletionStage<Page> scan(String table, String partition, String fromKey, int limit) {
+    return read(
+        () -> straight.scan(table, partition, fromKey, limit),
+        id -> Call.scan(id, table, partition, fromKey, limit),
+        reply -> new Page(reply.rows(), reply.version(), reply.more()));
+  }
+
+  @Override
+  public CompletionStage<List<String>> partitions(String table) {
+    return read(() -> straight.partitions(table), id -> Call.partitions(id, table), Reply::names);
+  }
+
+  @Override
+  public CompletionStage<Changes> changes(String table, long afterVersion, long waitMs) {
+    return read(
+        () -> straight.changes(table, afterVersion, waitMs),
+        id -> Call.changes(id, table, afterVersion, waitMs),
+        reply ->
+            reply.result() == Result.HISTORY_LOST
+                ? new Changes.HistoryLost()
+                : new Changes.Changed(reply.rows(), reply.version()));
+  }
+
+  @Override
+  public CompletionStage<WriteResult> commit(PartitionWrite write) {
+    LongFunction<Call> call = id -> Call.commit(id, write);
+    if (!path.isStraight()) {
+      return overPeer(call, RelayedStore::result);
+    }
+    CompletableFuture<WriteResult> outcome = new CompletableFuture<>();
+    note(straight.commit(write))
+        .whenComplete(
+            Failures.logged(
+                (result, failure) -> {
+                  if (failure == null) {
+                    outcome.complete(result);
+                  } else if (Failures.outcome(failure) == Outcome.NOT_RUN) {
+                    pass(overPeer(call, RelayedStore::result), outcome);
+                  } else {
+                    outcome.completeExceptionally(failure);
+                  }
+                }));
+    return outcome;
+  }
+
+  private static WriteResult result(Reply reply) {
+    return reply.result() == Result.COMMITTED
+        ? new WriteResult.Committed(reply.version())
+        : new WriteResult.Conflict(reply.rows());
+  }
+
+  private <T> CompletionStage<T> read(
+      Supplier<CompletionStage<T>> straightCall,
+      LongFunction<Call> call,
+      Function<Reply, T> reader) {
+    if (!path.takeStraight(MonotonicClock.nowMs())) {
+      return overPeer(call, reader);
+    }
+    CompletableFuture<T> outcome = new CompletableFuture<>();
+    note(straightCall.get())
+        .whenComplete(
+            Failures.logged(
+                (value, failure) -> {
+                  if (failure == null) {
+                    outcome.complete(value);
+                  } else {
+                    pass(overPeer(call, reader), outcome);
+                  }
+                }));
+    return outcome;
+  }
+
+  private <T> CompletionStage<T> overPeer(LongFunction<Call> call, Function<Reply, T> reader) {
+    CompletableFuture<T> outcome = new CompletableFuture<>();
+    relay
+        .send(call)
+        .thenApply(reader)
+        .whenComplete(
+            (value, failure) ->
+                loop.execute(
+                    () -> {
+                      if (failure == null) {
+                        outcome.complete(value);
+                      } else {
+                        outcome.completeExceptionally(failure);
+                      }
+                    }));
+    return outcome;
+  }
+
+  private static <T> void pass(CompletionStage<T> from, CompletableFuture<T> to) {
+    from.whenComplete(
+        (value, failure) -> {
+          if (failure == null) {
+            to.complete(value);
+          } else {
+            to.completeExceptionally(failure);
+          }
+        });
+  }
+
+  private <T> CompletionStage<T> note(CompletionStage<T> call) {
+    return call.whenComplete(
+        Failures.logged(
+            (value, failure) -> {
+              if (failure == null) {
+                onSucceeded();
+              } else {
+                onFailed(failure);
+              }
+            }));
+  }
+
+  private void onSucceeded() {
+    if (path.onSucceeded()) {
+      LOG.log(System.Logger.Level.INFO, LogEvent.of("store-path").with("straight", true));
+      relay.relax();
+    }
+  }
+
+  private void onFailed(Throwable failure) {
+    if (path.onFailed(MonotonicClock.nowMs())) {
+      LOG.log(
+          System.Logger.Level.WARNING,
+          LogEvent.of("store-path")
+              .with("straight", false)
+              .with("reason", Failures.unwrap(failure).getMessage()));
+      relay.prepare();
+    }
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -3,15 +3,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.routing.Manifest;
+import org.sycamoretrack.daemon.connection.PeerIdentity;
+import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
 import org.sycamoretrack.daemon.request.batch.BatchService;
@@ -47,6 +52,9 @@
   /** A route that isn't known is refused for good only while the manifest is this young. */
   private static final long CURRENT_MS = 1_400;
 
+  /** How often a node that lost the store tries to reach it straight. */
+  private static final long PROBE_INTERVAL_MS = 700;
+
   private static final long TICK_MS = 200;
 
   /** Nodes that try for the order lease: enough for one zone to be lost. */
@@ -70,6 +78,9 @@
   private final EventLoopGroup trafficGroup = EventLoops.start("traffic", 1);
   private final EventLoop controlLoop = controlGroup.next();
   private final EventLoop trafficLoop = trafficGroup.next();
+  private final PathSwitch path = new PathSwitch(PROBE_INTERVAL_MS);
+  private final PeerLink link;
+  private final StoreRelay relay;
   private final DeploymentWatch watch;
   private final NodeRegistry registry;
   private final OrphanWatch orphans;
@@ -81,16 +92,21 @@
 
   private RolloutNode(Settings settings, PlatformAdapter adapter) {
     this.settings = settings;
-    var controlStore = adapter.store(controlGroup);
+    PartitionedStore straight = adapter.store(controlGroup);
+    this.link = startLink(settings);
+    this.relay = new StoreRelay(link, straight, path, controlLoop);
+    PartitionedStore controlStore = new RelayedStore(straight, relay, path, controlLoop);
+    PartitionedStore trafficStore =
+        new RelayedStore(adapter.store(trafficGroup), relay, path, trafficLoop);
     this.watch =
         new DeploymentWatch(controlStore, adapter.codec(), controlLoop, this::onDeployment);
     NodeRecord self =
         new NodeRecord(
             settings.nodeId(), incarnation, settings.zone(), settings.peerAddress(), 0, false);
-    this.registry = new NodeRegistry(controlStore, controlLoop, self, () -> {});
+    this.registry = new NodeRegistry(controlStore, controlLoop, self, this::onNodes);
     this.components =
         BatchComponents.builder()
-            .store(adapter.store(trafficGroup))
+            .store(trafficStore)
             .sampler(adapter.samplers(trafficGroup))
             .views(watch::view)
             .loop(trafficLoop)
@@ -148,6 +164,31 @@
     return node;
   }
 
+  private PeerLink startLink(Settings node) {
+    PeerIdentity identity = new PeerIdentity(node.nodeId(), node.zone(), "", 0, node.peerAddress());
+    return PeerLink.builder()
+        .group(controlGroup)
+        .address(socketAddress(node.peerAddress()))
+        .identity(() -> identity)
+        .start();
+  }
+
+  private static InetSocketAddress socketAddress(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /** Nodes of the own zone carry calls of the store first, since a cut zone keeps them together. */
+  private void onNodes() {
+    relay.setPeers(
+        registry.live().stream()
+            .filter(node -> !node.nodeId().equals(settings.nodeId()) && !node.leaving())
+            .sorted(Comparator.comparing(node -> !node.zone().equals(settings.zone())))
+            .map(NodeRecord::peerAddress)
+            .toList());
+  }
+
   private void onDeployment() {
     DeploymentView view = watch.view();
     if (watch.isComplete()) {
@@ -173,6 +214,16 @@
     }
   }
 
+  /** Returns where callers connect, with the real port. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
+  /** Returns the epoch of the order lease, 0 when this node doesn't hold it. */
+  public long orderEpoch() {
+    return orders.epoch();
+  }
+
   @Override
   public Optional<Manifest> manifest() {
     return watch.view().manifest();
@@ -230,6 +281,7 @@
     watch.stop();
     callers.close();
     readiness.close();
+    link.close();
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopped"));
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/StoreMessage.java
@@ -0,0 +1,243 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.connection.FieldReader;
+import org.sycamoretrack.daemon.connection.FieldSource;
+import org.sycamoretrack.daemon.connection.FieldWriter;
+import org.sycamoretrack.daemon.connection.PeerMessage;
+import org.sycamoretrack.daemon.farend.PartitionWrite;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+
+/**
+ * The messages by which a node that can't reach the store uses it over a peer that can.
+ *
+ * <p>A {@link Call} is answered by one {@link Reply} of the same id.
+ */
+sealed interface StoreMessage extends PeerMessage {
+  /** Returns the id of the call, unique among the calls of its sender. */
+  long id();
+
+  /** What a call asks for. */
+  enum Operation {
+    /** Rows of a partition. */
+    SCAN,
+    /** The partitions of a table. */
+    PARTITIONS,
+    /** The changes of a table. */
+    CHANGES,
+    /** An atomic write. */
+    COMMIT
+  }
+
+  /**
+   * A call.
+   *
+   * @param id its id
+   * @param operation what it asks for
+   * @param table the table, empty for a write
+   * @param partition the partition, empty for what concerns a table
+   * @param fromKey the first key of a scan
+   * @param limit the most rows of a scan
+   * @param afterVersion the version after which changes are asked for
+   * @param waitMs how long changes are waited for, in milliseconds
+   * @param write the write, null for others
+   */
+  record Call(
+      long id,
+      Operation operation,
+      String table,
+      String partition,
+      String fromKey,
+      int limit,
+      long afterVersion,
+      long waitMs,
+      PartitionWrite write)
+      implements StoreMessage {
+    static final String TYPE = "store.call";
+
+    static Call scan(long id, String table, String partition, String fromKey, int limit) {
+      return new Call(id, Operation.SCAN, table, partition, fromKey, limit, 0, 0, null);
+    }
+
+    static Call partitions(long id, String table) {
+      return new Call(id, Operation.PARTITIONS, table, "", "", 0, 0, 0, null);
+    }
+
+    static Call changes(long id, String table, long afterVersion, long waitMs) {
+      return new Call(id, Operation.CHANGES, table, "", "", 0, afterVersion, waitMs, null);
+    }
+
+    static Call commit(long id, PartitionWrite write) {
+      return new Call(id, Operation.COMMIT, "", write.partition(), "", 0, 0, 0, write);
+    }
+
+    static Call read(FieldReader fields) {
+      Operation operation = Operation.valueOf(fields.string("operation"));
+      String partition = fields.string("partition");
+      return new Call(
+          fields.integer("id"),
+          operation,
+          fields.string("table"),
+          partition,
+          fields.string("fromKey"),
+          fields.int32("limit"),
+          fields.integer("afterVersion"),
+          fields.integer("waitMs"),
+          operation == Operation.COMMIT ? readWrite(partition, fields) : null);
+    }
+
+    private static PartitionWrite readWrite(String partition, FieldReader fields) {
+      PartitionWrite.Builder write = PartitionWrite.in(partition);
+      for (FieldReader condition : fields.maps("conditions")) {
+        write.expect(
+            condition.string("table"), condition.string("key"), condition.integer("version"));
+      }
+      for (FieldReader put : fields.maps("puts")) {
+        if (put.has("value")) {
+          write.put(put.string("table"), put.string("key"), put.bytes("value"));
+        } else {
+          write.remove(put.string("table"), put.string("key"));
+        }
+      }
+      return write.build();
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id)
+          .string("operation", operation.name())
+          .string("table", table)
+          .string("partition", partition)
+          .string("fromKey", fromKey)
+          .integer("limit", limit)
+          .integer("afterVersion", afterVersion)
+          .integer("waitMs", waitMs);
+      if (write != null) {
+        out.maps("conditions", write.conditions().stream().map(Call::fields).toList());
+        out.maps("puts", write.puts().stream().map(Call::fields).toList());
+      }
+    }
+
+    private static FieldSource fields(PartitionWrite.Condition condition) {
+      return out ->
+          out.string("table", condition.table())
+              .string("key", condition.key())
+              .integer("version", condition.version());
+    }
+
+    private static FieldSource fields(PartitionWrite.Put put) {
+      return out ->
+          out.string("table", put.table()).string("key", put.key()).bytes("value", put.value());
+    }
+  }
+
+  /** How a call ended. */
+  enum Result {
+    /** A page of rows. */
+    PAGE,
+    /** The names of partitions. */
+    NAMES,
+    /** Rows that changed. */
+    CHANGED,
+    /** The history was dropped. */
+    HISTORY_LOST,
+    /** The write took effect. */
+    COMMITTED,
+    /** The write's conditions didn't hold. */
+    CONFLICT,
+    /** The call failed. */
+    FAILED
+  }
+
+  /**
+   * The answer to a call.
+   *
+   * @param id the id of the call
+   * @param result how it ended
+   * @param rows its rows, if any
+   * @param names its names, if any
+   * @param version the version that it says, 0 for none
+   * @param more whether more rows follow
+   * @param outcome what is known of a call that failed
+   * @param message why it failed, empty when it didn't
+   */
+  record Reply(
+      long id,
+      Result result,
+      List<Row> rows,
+      List<String> names,
+      long version,
+      boolean more,
+      Outcome outcome,
+      String message)
+      implements StoreMessage {
+    static final String TYPE = "store.reply";
+
+    static Reply of(long id, Result result, List<Row> rows, long version, boolean more) {
+      return new Reply(id, result, rows, List.of(), version, more, Outcome.RAN, "");
+    }
+
+    static Reply names(long id, List<String> names) {
+      return new Reply(id, Result.NAMES, List.of(), names, 0, false, Outcome.RAN, "");
+    }
+
+    static Reply failed(long id, Outcome outcome, String message) {
+      return new Reply(id, Result.FAILED, List.of(), List.of(), 0, false, outcome, message);
+    }
+
+    static Reply read(FieldReader fields) {
+      List<Row> rows = new ArrayList<>();
+      for (FieldReader row : fields.maps("rows")) {
+        rows.add(
+            new Row(
+                row.string("table"),
+                row.string("partition"),
+                row.string("key"),
+                row.has("value") ? row.bytes("value") : null,
+                row.integer("version")));
+      }
+      return new Reply(
+          fields.integer("id"),
+          Result.valueOf(fields.string("result")),
+          rows,
+          fields.strings("names"),
+          fields.integer("version"),
+          fields.bool("more"),
+          Outcome.ofWireName(fields.string("outcome")),
+          fields.string("message"));
+    }
+
+    @Override
+    public String type() {
+      return TYPE;
+    }
+
+    @Override
+    public void writeFields(FieldWriter out) {
+      out.integer("id", id)
+          .string("result", result.name())
+          .maps("rows", rows.stream().map(Reply::fields).toList())
+          .strings("names", names)
+          .integer("version", version)
+          .bool("more", more)
+          .string("outcome", outcome.wireName())
+          .string("message", message);
+    }
+
+    private static FieldSource fields(Row row) {
+      return out ->
+          out.string("table", row.table())
+              .string("partition", row.partition())
+              .string("key", row.key())
+              .bytes("value", row.value())
+              .integer("version", row.version());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/StoreRelay.java
@@ -0,0 +1,220 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.PathSwitch;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.connection.PeerLink;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Changes;
+import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Call;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Reply;
+import org.sycamoretrack.daemon.process.rollout.StoreMessage.Result;
+
+/**
+ * Carries calls of the store over peers, in both roles: for a peer that can't reach the store, and
+ * over a peer when this node can't.
+ *
+ * <p>Peers are dialled only while the store can't be reached, at most {@value #MAX_PEERS} of them,
+ * those of the own zone first, so that nothing is connected in ordinary times. A peer that can't
+ * reach the store itself says so at once, and the next one is asked the next time.
+ *
+ * <p>Thread-safe.
+ */
+final class StoreRelay {
+  private static final int MAX_PEERS = 3;
+
+  /** A peer's own call of the store takes up to 1.5 s. */
+  private static final long CALL_TIMEOUT_MS = 1_800;
+
+  /** Peers are kept for this long after the store was reached again, in case it goes away anew. */
+  private static final long KEEP_PEERS_MS = 5_000;
+
+  private static final System.Logger LOG = System.getLogger(StoreRelay.class.getName());
+
+  private final PeerLink link;
+  private final PartitionedStore store;
+  private final PathSwitch path;
+  private final EventLoop loop;
+  private final Map<Long, CompletableFuture<Reply>> waiting = new ConcurrentHashMap<>();
+  private final Set<InetSocketAddress> dialled = ConcurrentHashMap.newKeySet();
+  private final AtomicLong ids = new AtomicLong();
+  private final AtomicLong turns = new AtomicLong();
+  private volatile List<InetSocketAddress> peers = List.of();
+
+  /**
+   * Creates a relay.
+   *
+   * @param link the connections to peers
+   * @param store the straight way to the store, for peers
+   * @param path whether the straight way works
+   * @param loop where time-outs run
+   */
+  StoreRelay(PeerLink link, PartitionedStore store, PathSwitch path, EventLoop loop) {
+    this.link = link;
+    this.store = store;
+    this.path = path;
+    this.loop = loop;
+    link.onMessage(Call.TYPE, Call::read, this::onCall);
+    link.onMessage(Reply.TYPE, Reply::read, (from, reply) -> onReply(reply));
+    link.onIntroduced(peer -> link.dial(address(peer.address())));
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /**
+   * Sets the peers that may carry calls.
+   *
+   * @param addresses where they accept connections, the best ones first
+   */
+  void setPeers(List<String> addresses) {
+    peers = addresses.stream().limit(MAX_PEERS).map(StoreRelay::address).toList();
+  }
+
+  /** Connects to peers, so that calls can go over them. */
+  void prepare() {
+    for (InetSocketAddress peer : peers) {
+      if (dialled.add(peer)) {
+        link.dial(peer);
+      }
+    }
+  }
+
+  /** Closes the connections to peers after a while, unless they are needed again. */
+  void relax() {
+    loop.schedule(
+        () -> {
+          if (path.isStraight()) {
+            dialled.forEach(link::forget);
+            dialled.clear();
+          }
+        },
+        KEEP_PEERS_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends a call over a peer.
+   *
+   * @param call makes the call from its id
+   * @return the reply; fails with {@code NOT_RUN} when no peer took the call
+   */
+  CompletionStage<Reply> send(LongFunction<Call> call) {
+    prepare();
+    long id = ids.incrementAndGet();
+    CompletableFuture<Reply> reply = new CompletableFuture<>();
+    List<String> ready = link.connectedPeers().stream().filter(link::isPaired).sorted().toList();
+    if (ready.isEmpty()) {
+      return CompletableFuture.failedFuture(failure(Outcome.NOT_RUN, "no peer is connected"));
+    }
+    String peer = ready.get((int) (turns.get() % ready.size()));
+    waiting.put(id, reply);
+    if (!link.send(peer, call.apply(id))) {
+      waiting.remove(id);
+      turns.incrementAndGet();
+      return CompletableFuture.failedFuture(failure(Outcome.NOT_RUN, "the peer takes no message"));
+    }
+    loop.schedule(() -> onTimeout(id), CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    return reply;
+  }
+
+  private void onTimeout(long id) {
+    CompletableFuture<Reply> reply = waiting.remove(id);
+    if (reply != null) {
+      turns.incrementAndGet();
+      reply.completeExceptionally(failure(Outcome.UNKNOWN, "the peer did not answer"));
+    }
+  }
+
+  private void onReply(Reply reply) {
+    CompletableFuture<Reply> expected = waiting.remove(reply.id());
+    if (expected == null) {
+      return;
+    }
+    if (reply.result() == Result.FAILED) {
+      turns.incrementAndGet();
+      expected.completeExceptionally(failure(reply.outcome(), reply.message()));
+    } else {
+      expected.complete(reply);
+    }
+  }
+
+  private static SycamoreException failure(Outcome outcome, String message) {
+    return new SycamoreException(
+        ErrorCode.PLATFORM_UNAVAILABLE, outcome, "store over a peer: " + message);
+  }
+
+  private void onCall(String from, Call call) {
+    if (!path.isStraight()) {
+      link.send(from, Reply.failed(call.id(), Outcome.NOT_RUN, "the peer can't reach the store"));
+      return;
+    }
+    run(call)
+        .whenComplete(
+            Failures.logged(
+                (reply, failure) -> {
+                  Reply answer = reply;
+                  if (failure != null) {
+                    String reason = String.valueOf(Failures.unwrap(failure).getMessage());
+                    answer = Reply.failed(call.id(), Failures.outcome(failure), reason);
+                  }
+                  if (!link.send(from, answer)) {
+                    LOG.log(
+                        System.Logger.Level.INFO,
+                        LogEvent.of("relay-reply-not-sent").with("peer", from));
+                  }
+                }));
+  }
+
+  private CompletionStage<Reply> run(Call call) {
+    long id = call.id();
+    return switch (call.operation()) {
+      case SCAN ->
+          store
+              .scan(call.table(), call.partition(), call.fromKey(), call.limit())
+              .thenApply(
+                  page -> Reply.of(id, Result.PAGE, page.rows(), page.version(), page.more()));
+      case PARTITIONS -> store.partitions(call.table()).thenApply(names -> Reply.names(id, names));
+      case CHANGES ->
+          store
+              .changes(call.table(), call.afterVersion(), call.waitMs())
+              .thenApply(changes -> reply(id, changes));
+      case COMMIT -> store.commit(call.write()).thenApply(result -> reply(id, result));
+    };
+  }
+
+  private static Reply reply(long id, Changes changes) {
+    return switch (changes) {
+      case Changes.Changed changed ->
+          Reply.of(id, Result.CHANGED, changed.rows(), changed.version(), false);
+      case Changes.HistoryLost lost -> Reply.of(id, Result.HISTORY_LOST, List.of(), 0, false);
+    };
+  }
+
+  private static Reply reply(long id, WriteResult result) {
+    return switch (result) {
+      case WriteResult.Committed committed ->
+          Reply.of(id, Result.COMMITTED, List.of(), committed.version(), false);
+      case WriteResult.Conflict conflict ->
+          Reply.of(id, Result.CONFLICT, conflict.rows(), 0, false);
+    };
+  }
+}
