Load an endpoint that still serves the batch after the batch's burst

Cause: a version is named right before the batch that asks for it arrives, and the batch allows the version before. Loading at once took half of a model's slots away for 0.9 s just when all items of the batch wanted one. Change: an endpoint one version behind is moved 1.2 s after the naming; one that is further behind at once. Of models equally far behind, the one named first goes first.

--- a/core/src/main/java/org/sycamoretrack/core/version/weights/LoadPlanner.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/weights/LoadPlanner.java
@@ -15,7 +15,13 @@
  * nobody, so loading them takes no capacity away. An endpoint is always moved to the newest version
  * that was named; versions between are skipped.
  *
- * <p>Load that it answers: several models whose versions are named every few seconds.
+ * <p>A batch is submitted right when a version is named, and it allows the version before. So an
+ * endpoint that is one version behind still serves it, and is moved only {@value #BURST_MS} ms
+ * later, when the batch's items have found their slots. Of endpoints that are equally far behind,
+ * those of the version that was named first go first.
+ *
+ * <p>Load that it answers: several models whose versions are named every few seconds, each with a
+ * batch that needs all slots at once.
  */
 public final class LoadPlanner {
   /**
@@ -37,6 +43,17 @@
    */
   public record Load(String endpointId, String model, int version) {}
 
+  /**
+   * The newest version of a model.
+   *
+   * @param version the version
+   * @param ageMs the time since it was named, in milliseconds
+   */
+  public record Named(int version, long ageMs) {}
+
+  /** Half of a batch's items have begun and ended by then; versions come each 4 s. */
+  private static final long BURST_MS = 1_200;
+
   private final int maxConcurrentLoads;
 
   /**
@@ -54,7 +71,7 @@
    * @param targets the endpoints of all shares
    * @param named the newest version of each model that was named
    */
-  public List<Load> next(List<Target> targets, Map<String, Integer> named) {
+  public List<Load> next(List<Target> targets, Map<String, Named> named) {
     Map<String, Integer> shareSizes = new HashMap<>();
     Map<String, Integer> loading = new HashMap<>();
     Map<String, Boolean> busy = new HashMap<>();
@@ -69,10 +86,11 @@
     }
     List<Target> behind =
         targets.stream()
-            .filter(target -> target.version() < named.getOrDefault(target.model(), 0))
+            .filter(target -> isDue(target, named.get(target.model())))
             .sorted(
                 Comparator.comparingInt(
-                        (Target target) -> target.version() - named.get(target.model()))
+                        (Target target) -> target.version() - named.get(target.model()).version())
+                    .thenComparingLong(target -> -named.get(target.model()).ageMs())
                     .thenComparingInt(target -> loading.getOrDefault(target.model(), 0))
                     .thenComparing(Target::endpointId))
             .toList();
@@ -82,7 +100,8 @@
       if (total < maxConcurrentLoads
           && !busy.containsKey(target.endpointId())
           && loading.getOrDefault(target.model(), 0) < most) {
-        loads.add(new Load(target.endpointId(), target.model(), named.get(target.model())));
+        int version = named.get(target.model()).version();
+        loads.add(new Load(target.endpointId(), target.model(), version));
         loading.merge(target.model(), 1, Integer::sum);
         busy.put(target.endpointId(), true);
         total++;
@@ -90,4 +109,11 @@
     }
     return loads;
   }
+
+  private static boolean isDue(Target target, Named newest) {
+    if (newest == null || target.version() >= newest.version()) {
+      return false;
+    }
+    return target.version() < newest.version() - 1 || newest.ageMs() >= BURST_MS;
+  }
 }
--- a/core/src/test/java/org/sycamoretrack/core/version/weights/LoadPlannerTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/version/weights/LoadPlannerTest.java
@@ -6,9 +6,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Named;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
 
 /** Tests of {@link LoadPlanner}. */
@@ -43,10 +45,39 @@
     "m2 m2 n0 n0, 'a c'"
   })
   void loadsHalfOfAShareAtOnce(String endpoints, String expected) {
-    List<Load> loads = new LoadPlanner(2).next(targets(endpoints), Map.of("m", 3, "n", 2));
+    Map<String, Named> named = Map.of("m", new Named(3, 5_000), "n", new Named(2, 5_000));
+    List<Load> loads = new LoadPlanner(2).next(targets(endpoints), named);
 
     assertThat(loads.stream().map(Load::endpointId).sorted().toList())
         .isEqualTo(Arrays.stream(expected.split(" ", -1)).filter(each -> !each.isEmpty()).toList());
     assertThat(loads).allMatch(load -> load.version() == (load.model().equals("m") ? 3 : 2));
   }
+
+  /** A version was just named and its batch has come: who can serve it is left alone. */
+  @ParameterizedTest(name = "{0} after {1} ms: {2}")
+  @CsvSource({
+    "m2 m2 m2 m2, 0, ''",
+    "m2 m2 m2 m2, 1199, ''",
+    "m2 m2 m2 m2, 1200, 'a b'",
+    "m1 m1 m2 m2, 0, 'a b'",
+    "m1 m2 m2 m2, 0, 'a'",
+    "m1 m2 m2 m2, 1200, 'a b'"
+  })
+  void waitsForTheBurstOfABatchWhereTheVersionBeforeServesIt(
+      String endpoints, long ageMs, String expected) {
+    List<Load> loads =
+        new LoadPlanner(2).next(targets(endpoints), Map.of("m", new Named(3, ageMs)));
+
+    assertThat(String.join(" ", loads.stream().map(Load::endpointId).sorted().toList()))
+        .isEqualTo(expected);
+  }
+
+  @Test
+  void theVersionThatWasNamedFirstGoesFirst() {
+    Map<String, Named> named = Map.of("m", new Named(3, 1_500), "n", new Named(2, 3_000));
+
+    assertThat(new LoadPlanner(2).next(targets("m2 m2 m2 m2 n1 n1 n1 n1"), named))
+        .extracting(Load::endpointId)
+        .containsExactly("e", "f");
+  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -17,6 +17,7 @@
 import org.sycamoretrack.core.version.routing.ServiceSpec;
 import org.sycamoretrack.core.version.weights.LoadPlanner;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
+import org.sycamoretrack.core.version.weights.LoadPlanner.Named;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
 import org.sycamoretrack.core.version.weights.ModelAssignment;
 import org.sycamoretrack.daemon.farend.Failures;
@@ -65,6 +66,7 @@
   private final LoadPlanner planner;
   private final Map<String, Map<String, Integer>> served = new HashMap<>();
   private final Map<String, Loading> loading = new HashMap<>();
+  private final Map<String, FirstSeen> firstSeen = new HashMap<>();
   private WeightPlan written = WeightPlan.EMPTY;
   private long planVersion = PartitionWrite.ABSENT;
   private boolean planKnown;
@@ -127,6 +129,8 @@
   }
 
   private void tick() {
+    DeploymentView view = views.get();
+    Map<String, Named> named = named(view);
     if (!lease.isHeld()) {
       return;
     }
@@ -136,7 +140,6 @@
       loading.clear();
       served.clear();
     }
-    DeploymentView view = views.get();
     if (view.manifest().isEmpty()) {
       return;
     }
@@ -147,7 +150,7 @@
     List.copyOf(loading.values()).forEach(load -> load.check(view));
     Map<String, List<String>> shares = shares(view);
     if (lease.mayOrder()) {
-      for (Load load : planner.next(targets(view, shares), view.namedVersions())) {
+      for (Load load : planner.next(targets(view, shares), named)) {
         Endpoint endpoint = view.fleet().find(load.endpointId());
         loading.put(load.endpointId(), new Loading(endpoint, load));
       }
@@ -155,6 +158,23 @@
     writePlan(plan(shares));
   }
 
+  /** Returns the newest versions with the time since this node learnt of them. */
+  private Map<String, Named> named(DeploymentView view) {
+    long nowMs = MonotonicClock.nowMs();
+    Map<String, Named> named = new HashMap<>();
+    view.namedVersions()
+        .forEach(
+            (model, version) -> {
+              FirstSeen seen = firstSeen.get(model);
+              if (seen == null || seen.version() != version) {
+                seen = new FirstSeen(version, nowMs);
+                firstSeen.put(model, seen);
+              }
+              named.put(model, new Named(version, nowMs - seen.atMs()));
+            });
+    return named;
+  }
+
   private void readPlan() {
     if (writing) {
       return;
@@ -276,6 +296,9 @@
     return true;
   }
 
+  /** A version with the time when this node first saw it named. */
+  private record FirstSeen(int version, long atMs) {}
+
   /** A load that is under way. */
   private final class Loading {
     private final Endpoint endpoint;
