Move runs off slow endpoints and keep their texts for a takeover

A killed owner's texts were begun anew. Change: runs leave an endpoint at half the median speed or less for slots that no waiting item needs, the longest first, and go on after their last event. Speed is smoothed over time, so that moments of 0.6 s don't count. An owner keeps texts that have grown by 12 events or more each 0.6 s; a takeover goes on from them.

--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
@@ -13,7 +13,8 @@
  * endpoint reported with an answer, less what this node had there at that moment; it is believed
  * for {@value #REPORT_VALID_MS} ms. An endpoint that refused gets no work for a pause.
  *
- * <p>Speed is the smoothed time between two events of a text, compared with the median of all
+ * <p>Speed is the time between two events of a text, smoothed over time and not over events, so
+ * that a full endpoint is judged no faster than an empty one, and compared with the median of all
  * endpoints that made events lately.
  *
  * <p>Not thread-safe. Times are milliseconds of one monotonic clock.
@@ -22,8 +23,11 @@
   /** Others' batches run for about a second, so an older report says nothing. */
   private static final long REPORT_VALID_MS = 1_000;
 
-  /** Weight of the newest interval in the smoothed one: half of the memory is 4 events long. */
-  private static final double PACE_SMOOTHING = 0.16;
+  /**
+   * Time constant of the smoothed speed. Neighbours slow an endpoint down for about as long, which
+   * doesn't show as twice the median then; a slowdown of seconds does after half of this time.
+   */
+  private static final double PACE_TIME_MS = 600;
 
   /** A pace without a new event for this long says nothing about the endpoint now. */
   private static final long PACE_VALID_MS = 3_000;
@@ -105,8 +109,10 @@
    */
   public void onEvent(String endpointId, double intervalMs, long nowMs) {
     Usage usage = usage(endpointId);
-    boolean fresh = nowMs - usage.paceAtMs <= PACE_VALID_MS;
-    usage.paceMs = fresh ? usage.paceMs + PACE_SMOOTHING * (intervalMs - usage.paceMs) : intervalMs;
+    long elapsedMs = nowMs - usage.paceAtMs;
+    boolean fresh = usage.paceAtMs > 0 && elapsedMs <= PACE_VALID_MS;
+    double weight = fresh ? 1 - Math.exp(-elapsedMs / PACE_TIME_MS) : 1;
+    usage.paceMs += weight * (intervalMs - usage.paceMs);
     usage.paceAtMs = nowMs;
   }
 
--- a/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 
 /** Tests of {@link SlotPlacement} and {@link SlotLedger}. */
@@ -94,6 +96,20 @@
     assertThat(sent[1]).isGreaterThan(900);
   }
 
+  /** Neighbours slow an endpoint down for moments; that it is slow for good shows soon. */
+  @ParameterizedTest
+  @CsvSource({"300, false", "500, false", "900, true", "3000, true"})
+  void tellsASlowEndpointFromOneThatWasSlowForAMoment(long slowForMs, boolean seenSlow) {
+    for (long nowMs = 1_000; nowMs <= 2_000 + slowForMs; nowMs += 40) {
+      ledger.onEvent(far.id(), 40, nowMs);
+      ledger.onEvent("far-2", 40, nowMs);
+      ledger.onEvent(near.id(), nowMs < 2_000 ? 40 : 100, nowMs);
+    }
+    long endMs = 2_000 + slowForMs;
+
+    assertThat(ledger.slowness(near.id(), endMs) >= 2).isEqualTo(seenSlow);
+  }
+
   @Test
   void avoidsAnEndpointThatHasTurnedSlow() {
     Endpoint third = endpoint("far-2", "far");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -44,6 +45,12 @@
   /** Text of one commit: its form in the call is a third larger, and a call may have 1 MB. */
   private static final int MAX_COMMIT_BYTES = 400_000;
 
+  /** Work of this long is lost with its owner at most, besides the time of the takeover. */
+  private static final long KEEP_INTERVAL_MS = 600;
+
+  /** Half a second of a text; shorter ones are made again sooner than kept. */
+  private static final int MIN_KEPT_EVENTS = 12;
+
   private static final System.Logger LOG = System.getLogger(BatchRunner.class.getName());
 
   /** What a runner tells the one that keeps it. */
@@ -63,7 +70,10 @@
   private final Listener listener;
   private final Map<ItemProgress, ItemRun> runs = new HashMap<>();
   private final Map<String, Set<String>> groupEndpoints = new HashMap<>();
+  private final Map<ItemProgress, Integer> keptEvents = new HashMap<>();
   private List<ItemResult> committing = List.of();
+  private long nextKeepMs;
+  private boolean keeping;
   private boolean mayDispatch = true;
   private boolean seen;
   private boolean closed;
@@ -125,6 +135,11 @@
     return groupEndpoints.getOrDefault(group, Set.of());
   }
 
+  /** Returns the runs under way. */
+  List<ItemRun> runs() {
+    return List.copyOf(runs.values());
+  }
+
   /** Starts a run of an item. */
   void start(ItemProgress item, Endpoint endpoint) {
     item.onStarted();
@@ -165,6 +180,7 @@
   /** Looks for silent runs and for items that have waited too long. */
   void onTick(long nowMs) {
     List.copyOf(runs.values()).forEach(run -> run.onTick(nowMs));
+    keepTexts(nowMs);
     BatchSubmission submission = batch.submission();
     long maxQueueMs = submission.terms().maxQueueMs();
     if (maxQueueMs > 0 && System.currentTimeMillis() - submission.acceptedAtMs() > maxQueueMs) {
@@ -176,6 +192,48 @@
     }
   }
 
+  /**
+   * Keeps the texts that have grown for a while, the longest first, so that the node that takes
+   * over after a crash goes on from them. They are lost work at worst, so a failure is not
+   * repeated.
+   */
+  private void keepTexts(long nowMs) {
+    if (closed || keeping || nowMs < nextKeepMs) {
+      return;
+    }
+    List<ItemProgress> grown =
+        runs.keySet().stream()
+            .filter(item -> item.text().lastEvent() - keptEvents(item) >= MIN_KEPT_EVENTS)
+            .sorted(Comparator.comparingInt(item -> -item.text().lastEvent()))
+            .toList();
+    List<BatchJournal.Slice> slices = new ArrayList<>();
+    for (ItemProgress item : grown) {
+      List<BatchJournal.Slice> text = BatchJournal.text(item);
+      if (slices.size() + text.size() <= BatchJournal.ROWS_PER_WRITE) {
+        slices.addAll(text);
+        keptEvents.put(item, item.text().lastEvent());
+      }
+    }
+    if (slices.isEmpty()) {
+      return;
+    }
+    nextKeepMs = nowMs + KEEP_INTERVAL_MS;
+    keeping = true;
+    keep(slices)
+        .whenComplete(
+            Failures.logged(
+                (done, failure) -> {
+                  keeping = false;
+                  if (failure != null) {
+                    logNotKept(failure);
+                  }
+                }));
+  }
+
+  private int keptEvents(ItemProgress item) {
+    return keptEvents.getOrDefault(item, 0);
+  }
+
   private void commit() {
     if (closed || !committing.isEmpty()) {
       return;
@@ -276,15 +334,19 @@
     }
     return kept.exceptionally(
         failure -> {
-          LOG.log(
-              System.Logger.Level.WARNING,
-              LogEvent.of("texts-not-kept")
-                  .with("batch", batch.submission().id())
-                  .with("reason", Failures.unwrap(failure).getMessage()));
+          logNotKept(failure);
           return null;
         });
   }
 
+  private void logNotKept(Throwable failure) {
+    LOG.log(
+        System.Logger.Level.WARNING,
+        LogEvent.of("texts-not-kept")
+            .with("batch", batch.submission().id())
+            .with("reason", Failures.unwrap(failure).getMessage()));
+  }
+
   private CompletionStage<Void> keep(List<BatchJournal.Slice> slices) {
     PartitionWrite.Builder write =
         PartitionWrite.in(batch.submission().id())
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -14,6 +14,7 @@
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.ItemOrder;
 import org.sycamoretrack.core.request.batch.ItemProgress;
+import org.sycamoretrack.core.request.batch.MovePolicy;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.daemon.farend.SamplerClient;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
@@ -33,6 +34,9 @@
   /** Finds runs that have gone silent, and items whose pause has passed. */
   private static final long TICK_MS = 50;
 
+  /** Often enough for a slowdown of some seconds, rare enough that moved runs show their speed. */
+  private static final long MOVE_INTERVAL_MS = 150;
+
   /** The usual number of tokens of an event, for estimates only. */
   private static final int TOKENS_PER_EVENT = 50;
 
@@ -41,9 +45,11 @@
   private final SlotLedger ledger;
   private final SlotPlacement placement;
   private final EventLoop loop;
+  private final MovePolicy movePolicy = new MovePolicy();
   private final ItemOrder order = new ItemOrder(TOKENS_PER_EVENT);
   private final List<BatchRunner> runners = new ArrayList<>();
   private final Map<String, Map<String, Integer>> observedVersions = new HashMap<>();
+  private long nextMovesMs;
   private boolean dispatchPending;
   private boolean stopped;
 
@@ -109,6 +115,37 @@
     long nowMs = MonotonicClock.nowMs();
     List.copyOf(runners).forEach(runner -> runner.onTick(nowMs));
     dispatch();
+    if (nowMs >= nextMovesMs && !stopped) {
+      nextMovesMs = nowMs + MOVE_INTERVAL_MS;
+      List.copyOf(runners).forEach(runner -> moveSlowRuns(runner, nowMs));
+    }
+  }
+
+  /** Ends runs at slow endpoints that have a better place; the next dispatch gives it to them. */
+  private void moveSlowRuns(BatchRunner runner, long nowMs) {
+    List<ItemRun> runs = runner.runs();
+    if (runs.isEmpty() || !runner.mayDispatch()) {
+      return;
+    }
+    List<MovePolicy.Run> candidates = new ArrayList<>();
+    for (int i = 0; i < runs.size(); i++) {
+      ItemRun run = runs.get(i);
+      double slowness = ledger.slowness(run.endpoint().id(), nowMs);
+      int remaining = order.remainingTokens(run.item());
+      candidates.add(new MovePolicy.Run(i, slowness, run.elapsedMs(nowMs), remaining));
+    }
+    List<MovePolicy.FreeSlots> free = new ArrayList<>();
+    for (Endpoint endpoint : candidates(runner, runs.get(0).item().item())) {
+      if (!ledger.isPaused(endpoint.id(), nowMs)) {
+        double slowness = ledger.slowness(endpoint.id(), nowMs);
+        free.add(new MovePolicy.FreeSlots(ledger.free(endpoint, nowMs), slowness));
+      }
+    }
+    int waiting =
+        runners.stream().mapToInt(each -> order.waiting(each.batch(), nowMs).size()).sum();
+    for (int id : movePolicy.moves(candidates, free, waiting)) {
+      runs.get(id).move();
+    }
   }
 
   private void dispatch() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -63,6 +63,25 @@
     call = scheduler.sampler().run(endpoint, host, item.item(), startedAfter, this);
   }
 
+  ItemProgress item() {
+    return item;
+  }
+
+  Endpoint endpoint() {
+    return endpoint;
+  }
+
+  long elapsedMs(long nowMs) {
+    return nowMs - startedMs;
+  }
+
+  /** Ends the run so that the item goes on at a faster endpoint. */
+  void move() {
+    if (anyEvent) {
+      abandon("the endpoint is slow");
+    }
+  }
+
   /** Ends the run; the item is not run again by this node. */
   void cancel() {
     if (!ended) {
