--- a/daemon/src/main/java/org/sycamoretrack/daemon/farend/Failures.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/Failures.java
@@ -1,7 +1,13 @@
 package org.sycamoretrack.daemon.farend;
 
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
 
@@ -40,6 +46,40 @@
     };
   }
 
+  /**
+   * Bounds a stage in time. The call itself goes on, so what it does may still take effect.
+   *
+   * @param stage the stage
+   * @param loop where the time runs
+   * @param timeoutMs the bound, in milliseconds
+   * @param <T> the value of the stage
+   * @return a stage that fails with {@code UNKNOWN} when the bound is exceeded
+   */
+  public static <T> CompletionStage<T> bounded(
+      CompletionStage<T> stage, EventLoop loop, long timeoutMs) {
+    CompletableFuture<T> bounded = new CompletableFuture<>();
+    ScheduledFuture<?> timer =
+        loop.schedule(
+            () ->
+                bounded.completeExceptionally(
+                    new SycamoreException(
+                        ErrorCode.PLATFORM_UNAVAILABLE,
+                        Outcome.UNKNOWN,
+                        "no answer within " + timeoutMs + " ms")),
+            timeoutMs,
+            TimeUnit.MILLISECONDS);
+    stage.whenComplete(
+        (value, failure) -> {
+          timer.cancel(false);
+          if (failure == null) {
+            bounded.complete(value);
+          } else {
+            bounded.completeExceptionally(failure);
+          }
+        });
+    return bounded;
+  }
+
   /**
    * Returns whether the failed call may have taken effect.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
@@ -39,6 +39,15 @@
   /** How many intervals without a heartbeat make a node dead. */
   private static final int MISSED_HEARTBEATS = 4;
 
+  /**
+   * A heartbeat that hangs is written anew before its node counts as dead. A store that is 60 times
+   * slower than usual still answers in half of this.
+   */
+  private static final long WRITE_TIMEOUT_MS = 700;
+
+  /** A read over a peer follows one that hangs, and both must fit. */
+  private static final long READ_TIMEOUT_MS = 2_500;
+
   private static final int MAX_NODES_READ = 500;
   private static final System.Logger LOG = System.getLogger(NodeRegistry.class.getName());
 
@@ -140,7 +149,8 @@
     } else {
       write.expect(ControlTables.NODES, nodeId, PartitionWrite.ABSENT);
     }
-    return store.commit(write.build()).thenCompose(this::onWritten);
+    return Failures.bounded(store.commit(write.build()), loop, WRITE_TIMEOUT_MS)
+        .thenCompose(this::onWritten);
   }
 
   private CompletionStage<Void> onWritten(WriteResult result) {
@@ -163,8 +173,7 @@
       return;
     }
     long sentMs = MonotonicClock.nowMs();
-    store
-        .scan(ControlTables.NODES, "", "", MAX_NODES_READ)
+    Failures.bounded(store.scan(ControlTables.NODES, "", "", MAX_NODES_READ), loop, READ_TIMEOUT_MS)
         .whenComplete(
             Failures.logged(
                 (page, failure) -> {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -25,7 +25,7 @@
  */
 public final class TableWatch {
   /** Two questions a second keep a stalled connection shorter than the bound of a drain, 2 s. */
-  private static final long WAIT_MS = 500;
+  private static final long WAIT_MS = 400;
 
   /** A refused question costs the store a call, so it is not repeated at once. */
   private static final long RETRY_MS = 150;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -39,6 +39,9 @@
   /** What has passed of {@link #TURN_MS} when a lease that ran out is taken. */
   private static final long LAPSED_MS = TIMES.takeOverAfterMs() - holdMs();
 
+  /** A renewal that hangs is settled while the lease still holds. */
+  private static final long CALL_TIMEOUT_MS = 500;
+
   private static final long TICK_MS = 100;
   private static final System.Logger LOG = System.getLogger(OrderLease.class.getName());
 
@@ -166,8 +169,7 @@
             .expect(ControlTables.CONTROL, ControlTables.LEASE, row.version())
             .put(ControlTables.CONTROL, ControlTables.LEASE, ControlTables.write(row, nodeId))
             .build();
-    store
-        .commit(write)
+    Failures.bounded(store.commit(write), loop, CALL_TIMEOUT_MS)
         .whenComplete(
             Failures.logged(
                 (result, failure) -> {
