Recover at once from a restart of all nodes

Change: a host whose process was started anew takes its lease back at once, for it is the same holder; an owner is gone only when the table of nodes was read after its row was seen, and that table is read each 0.15 s after a start; a node accepts batches only once it is registered. Ruled out: a shorter wait between two hosts' orders, since samplers don't check epochs.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
@@ -48,6 +48,8 @@
   /** A read over a peer follows one that hangs, and both must fit. */
   private static final long READ_TIMEOUT_MS = 2_500;
 
+  private static final long START_MS = 1_500;
+  private static final long START_INTERVAL_MS = 150;
   private static final int MAX_NODES_READ = 500;
   private static final System.Logger LOG = System.getLogger(NodeRegistry.class.getName());
 
@@ -58,10 +60,12 @@
   private final String zone;
   private final String peerAddress;
   private final Runnable onChange;
+  private final long startedAtMs = MonotonicClock.nowMs();
   private final NodeTable nodes = new NodeTable(MISSED_HEARTBEATS * MIN_INTERVAL_MS);
   private List<NodeRecord> live = List.of();
   private long rowVersion = -1;
   private long heartbeat;
+  private long readSentAtMs = Long.MIN_VALUE;
   private long readAtMs = Long.MIN_VALUE;
   private boolean leaving;
   private volatile boolean registered;
@@ -111,6 +115,11 @@
     return nodes;
   }
 
+  /** Returns when the read was sent that the nodes are known from, by the steady clock. */
+  public long readSentAtMs() {
+    return readSentAtMs;
+  }
+
   /** Returns whether the nodes were read lately enough to call one dead. */
   public boolean isFresh() {
     return readAtMs != Long.MIN_VALUE && MonotonicClock.nowMs() - readAtMs < 2 * intervalMs();
@@ -130,6 +139,12 @@
     return Math.max(MIN_INTERVAL_MS, INTERVAL_MS_PER_NODE * live.size());
   }
 
+  /** After a start, the others may be starting too, and what they held waits for them. */
+  private long readIntervalMs() {
+    boolean starting = MonotonicClock.nowMs() - startedAtMs < START_MS;
+    return starting ? Math.min(START_INTERVAL_MS, intervalMs()) : intervalMs();
+  }
+
   private void beat() {
     if (stopped || leaving) {
       return;
@@ -185,7 +200,7 @@
                         LogEvent.of("nodes-unread")
                             .with("reason", Failures.unwrap(failure).getMessage()));
                   }
-                  loop.schedule(this::read, intervalMs(), TimeUnit.MILLISECONDS);
+                  loop.schedule(this::read, readIntervalMs(), TimeUnit.MILLISECONDS);
                 }));
   }
 
@@ -200,6 +215,7 @@
             LogEvent.of("row-unreadable").with("table", row.table()).with("key", row.key()));
       }
     }
+    readSentAtMs = sentMs;
     readAtMs = MonotonicClock.nowMs();
     nodes.onRead(rows, sentMs, readAtMs);
     List<NodeRecord> now = new ArrayList<>(nodes.live());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeServices.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeServices.java
@@ -22,6 +22,11 @@
   /** Returns whether the node takes new connections. */
   boolean isReady();
 
+  /**
+   * Returns whether other nodes know this one, so that a batch that it accepts isn't taken over.
+   */
+  boolean isRegistered();
+
   /** Returns whether the node is stopping and takes no new batches. */
   boolean isStopping();
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/OrphanWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/OrphanWatch.java
@@ -14,6 +14,10 @@
  * once, each further one {@value #RANK_DELAY_MS} ms later, so that mostly one tries and any of them
  * does in the end.
  *
+ * <p>A node registers before it accepts a batch. So an owner that the table of nodes doesn't show
+ * is gone only when the table was read after the owner's row was seen; before, it may be a node
+ * that has just started.
+ *
  * <p>A batch that names this run of this node, though it isn't run here, was accepted by a write
  * whose answer was lost; it is taken up after {@value #LOST_ANSWER_MS} ms.
  */
@@ -28,7 +32,8 @@
   private final String incarnation;
   private final NodeTable nodes;
   private final Consumer<Owner> takeOver;
-  private final Map<String, Long> orphanedAtMs = new HashMap<>();
+  private final Map<Owner, Long> firstSeenAtMs = new HashMap<>();
+  private final Map<Owner, Long> orphanedAtMs = new HashMap<>();
 
   /**
    * Creates a watch.
@@ -49,23 +54,26 @@
    * Looks at all owners.
    *
    * @param owners the owners by batch
+   * @param nodesReadAtMs when the read was sent that the nodes are known from
    */
-  void check(Map<String, Owner> owners) {
+  void check(Map<String, Owner> owners, long nodesReadAtMs) {
     long nowMs = MonotonicClock.nowMs();
-    orphanedAtMs.keySet().retainAll(owners.keySet());
-    owners.forEach((batchId, owner) -> check(owner, nowMs));
+    orphanedAtMs.keySet().retainAll(owners.values());
+    firstSeenAtMs.keySet().retainAll(owners.values());
+    owners.forEach((batchId, owner) -> check(owner, nodesReadAtMs, nowMs));
   }
 
-  private void check(Owner owner, long nowMs) {
+  private void check(Owner owner, long nodesReadAtMs, long nowMs) {
+    long seenAtMs = firstSeenAtMs.computeIfAbsent(owner, any -> nowMs);
     boolean mine = owner.incarnation().equals(incarnation);
     if (!mine && nodes.isServing(owner.nodeId(), owner.incarnation())) {
-      orphanedAtMs.remove(owner.batchId());
+      orphanedAtMs.remove(owner);
       return;
     }
-    long sinceMs = orphanedAtMs.computeIfAbsent(owner.batchId(), any -> nowMs);
+    long sinceMs = orphanedAtMs.computeIfAbsent(owner, any -> nowMs);
     long delayMs =
         mine ? LOST_ANSWER_MS : RANK_DELAY_MS * nodes.takeoverRank(nodeId, owner.batchId());
-    if (nowMs - sinceMs >= delayMs) {
+    if (nowMs - sinceMs >= delayMs && nodesReadAtMs > seenAtMs) {
       takeOver.accept(owner);
     }
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -126,8 +126,7 @@
             adapter.samplers(controlGroup),
             watch::view,
             controlLoop,
-            settings.nodeId(),
-            incarnation,
+            self,
             settings.maxConcurrentLoads());
     this.readiness =
         HttpServer.builder()
@@ -210,7 +209,7 @@
     boolean first = registry.table().takeoverRank(settings.nodeId(), "orders") < LEASE_CANDIDATES;
     orders.setCandidate(!stopping && registry.isRegistered() && first);
     if (!stopping && registry.isFresh()) {
-      orphans.check(view.owners());
+      orphans.check(view.owners(), registry.readSentAtMs());
     }
   }
 
@@ -249,6 +248,11 @@
     return !stopping && watch.isComplete() && registry.isRegistered();
   }
 
+  @Override
+  public boolean isRegistered() {
+    return registry.isRegistered();
+  }
+
   @Override
   public boolean isStopping() {
     return stopping;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
@@ -137,11 +137,11 @@
         json.path("leaving").asBoolean());
   }
 
-  /** Writes a lease. */
-  public static byte[] write(Lease.Row lease, String nodeId) {
+  /** Writes a lease with the host that holds it. */
+  public static byte[] write(Lease.Row lease, String holder) {
     return Json.bytes(
         Json.object()
-            .put("node", nodeId)
+            .put("holder", holder)
             .put("epoch", lease.epoch())
             .put("incarnation", lease.incarnation())
             .put("sequence", lease.sequence())
@@ -164,6 +164,11 @@
         json.path("released").asBoolean());
   }
 
+  /** Returns the host that a lease's row names, empty when it names none. */
+  public static String readHolder(Row row) {
+    return Json.parse(row.value()).path("holder").asText();
+  }
+
   /** Writes a plan. */
   public static byte[] write(WeightPlan plan) {
     ObjectNode shares = Json.object();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.core.version.routing.RouteKind;
@@ -82,8 +83,7 @@
    * @param sampler gives orders, and answers on the loop
    * @param views what is known of the deployment
    * @param loop the control loop
-   * @param nodeId this node
-   * @param incarnation this run of its process
+   * @param self this node
    * @param maxConcurrentLoads how many endpoints may load at once
    */
   public OrderHolder(
@@ -91,15 +91,15 @@
       SamplerClient sampler,
       Supplier<DeploymentView> views,
       EventLoop loop,
-      String nodeId,
-      String incarnation,
+      NodeRecord self,
       int maxConcurrentLoads) {
     this.store = store;
     this.sampler = sampler;
     this.views = views;
     this.loop = loop;
-    this.nodeId = nodeId;
-    this.lease = new OrderLease(store, loop, nodeId, incarnation);
+    this.nodeId = self.nodeId();
+    String holder = self.nodeId() + '@' + self.peerAddress();
+    this.lease = new OrderLease(store, loop, holder, self.incarnation());
     this.planner = new LoadPlanner(maxConcurrentLoads);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -47,20 +47,31 @@
 
   private final PartitionedStore store;
   private final EventLoop loop;
-  private final String nodeId;
+  private final String holder;
+  private final String incarnation;
   private final Lease lease;
   private final SuspensionGuard guard = new SuspensionGuard();
   private long sentSteadyMs;
   private long sentTimeOfDayMs;
   private long heldEpoch;
   private long takenAtMs;
-  private boolean givenBack = true;
+  private long turnDelayMs = TURN_MS;
   private boolean candidate;
+  private boolean reclaiming = true;
 
-  OrderLease(PartitionedStore store, EventLoop loop, String nodeId, String incarnation) {
+  /**
+   * Creates a lease that is not held.
+   *
+   * @param store the store, which answers on the loop
+   * @param loop the control loop
+   * @param holder names this host, and no other that takes its place
+   * @param incarnation this run of the process
+   */
+  OrderLease(PartitionedStore store, EventLoop loop, String holder, String incarnation) {
     this.store = store;
     this.loop = loop;
-    this.nodeId = nodeId;
+    this.holder = holder;
+    this.incarnation = incarnation;
     this.lease = new Lease(TIMES, incarnation);
   }
 
@@ -68,7 +79,10 @@
     return TIMES.ttlMs() - TIMES.pauseMarginMs();
   }
 
-  /** Starts to renew the lease when it is held, and to take it while this node is a candidate. */
+  /**
+   * Starts to renew the lease when it is held, and to take it while this node is a candidate or an
+   * earlier process of this host has held it last.
+   */
   void start() {
     loop.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
   }
@@ -91,8 +105,7 @@
 
   /** Returns whether an order may be sent now. */
   boolean mayOrder() {
-    long delayMs = givenBack ? TURN_MS : TURN_MS - LAPSED_MS;
-    return isHeld() && MonotonicClock.nowMs() - takenAtMs >= delayMs;
+    return isHeld() && MonotonicClock.nowMs() - takenAtMs >= turnDelayMs;
   }
 
   /**
@@ -109,7 +122,7 @@
   }
 
   private void tick() {
-    if (!candidate && lease.epoch() == 0) {
+    if (!candidate && !reclaiming && lease.epoch() == 0) {
       return;
     }
     switch (lease.next(MonotonicClock.nowMs())) {
@@ -142,22 +155,31 @@
                   if (failure != null) {
                     lease.onReadFailed(MonotonicClock.nowMs());
                   } else {
-                    Lease.Row found = find(page);
-                    if (lease.epoch() == 0) {
-                      givenBack = found.released();
-                    }
-                    lease.onRead(found, MonotonicClock.nowMs());
+                    lease.onRead(find(page), MonotonicClock.nowMs());
                     noteEpoch();
                   }
                 }));
   }
 
-  private static Lease.Row find(Page page) {
+  /** Reads the lease; one of an earlier process of this host is as good as given back. */
+  private Lease.Row find(Page page) {
     for (Row row : page.rows()) {
       if (row.key().equals(ControlTables.LEASE)) {
-        return ControlTables.readLease(row);
+        Lease.Row found = ControlTables.readLease(row);
+        boolean sameHost = ControlTables.readHolder(row).equals(holder);
+        boolean earlierProcess = sameHost && !found.incarnation().equals(incarnation);
+        reclaiming = earlierProcess;
+        if (lease.epoch() == 0) {
+          long lapsedMs = found.released() ? 0 : LAPSED_MS;
+          turnDelayMs = earlierProcess ? 0 : TURN_MS - lapsedMs;
+        }
+        return earlierProcess
+            ? new Lease.Row(
+                found.version(), found.epoch(), found.incarnation(), found.sequence(), true)
+            : found;
       }
     }
+    reclaiming = false;
     return Lease.Row.NONE;
   }
 
@@ -167,7 +189,7 @@
     PartitionWrite write =
         PartitionWrite.in(ControlTables.ORDERS)
             .expect(ControlTables.CONTROL, ControlTables.LEASE, row.version())
-            .put(ControlTables.CONTROL, ControlTables.LEASE, ControlTables.write(row, nodeId))
+            .put(ControlTables.CONTROL, ControlTables.LEASE, ControlTables.write(row, holder))
             .build();
     Failures.bounded(store.commit(write), loop, CALL_TIMEOUT_MS)
         .whenComplete(
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/rollout/OrphanWatchTest.java
@@ -0,0 +1,81 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.process.ownership.NodeRecord;
+import org.sycamoretrack.core.process.ownership.NodeTable;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
+import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
+
+/** Tests of {@link OrphanWatch}. */
+class OrphanWatchTest {
+  private final NodeTable nodes = new NodeTable(60_000);
+  private final List<Owner> taken = new ArrayList<>();
+  private final OrphanWatch watch = new OrphanWatch("a", "a-run", nodes, taken::add);
+
+  private static NodeRecord node(String id, String incarnation) {
+    return new NodeRecord(id, incarnation, "z", "", 0, false);
+  }
+
+  private void read(NodeRecord... live) {
+    long version = 1;
+    var rows = new java.util.HashMap<NodeRecord, Long>();
+    for (NodeRecord node : live) {
+      rows.put(node, version++);
+    }
+    nodes.onRead(rows, 0, 0);
+  }
+
+  private void check(Owner owner, long nodesReadAtMs) {
+    watch.check(Map.of(owner.batchId(), owner), nodesReadAtMs);
+  }
+
+  @Test
+  void takesOverFromAnEarlierRunOfANode() {
+    read(node("a", "a-run"), node("b", "b-2"));
+    Owner dead = orphanRankedFirst("b", "b-1");
+    check(dead, MonotonicClock.nowMs());
+    check(dead, MonotonicClock.nowMs() + 1);
+
+    assertThat(taken).contains(dead);
+  }
+
+  /** Finds a batch for which this node is the first to take over. */
+  private Owner orphanRankedFirst(String nodeId, String incarnation) {
+    int number = 0;
+    while (nodes.takeoverRank("a", "batch-" + number) != 0) {
+      number++;
+    }
+    return new Owner("batch-" + number, nodeId, incarnation, 7);
+  }
+
+  /** All nodes were killed; b is back and has accepted a batch before a has read of its new run. */
+  @Test
+  void anOwnerThatHasJustStartedIsNotGone() {
+    read(node("a", "a-run"), node("b", "b-1"));
+    long readAtMs = MonotonicClock.nowMs() - 100;
+    Owner started = orphanRankedFirst("b", "b-2");
+
+    check(started, readAtMs);
+    check(started, readAtMs);
+    assertThat(taken).as("the nodes were read before the owner was seen").isEmpty();
+
+    read(node("a", "a-run"), node("b", "b-2"));
+    check(started, MonotonicClock.nowMs() + 1);
+    assertThat(taken).isEmpty();
+  }
+
+  @Test
+  void leavesTheBatchesOfLiveNodes() {
+    read(node("a", "a-run"), node("b", "b-1"));
+    Owner owner = new Owner("batch-1", "b", "b-1", 7);
+    check(owner, MonotonicClock.nowMs() + 1);
+    check(owner, MonotonicClock.nowMs() + 1);
+
+    assertThat(taken).isEmpty();
+  }
+}
