--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/JsonLog.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/JsonLog.java
@@ -1,7 +1,8 @@
 package org.sycamoretrack.daemon.process;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.PrintStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.text.MessageFormat;
 import java.time.Instant;
 import java.util.HashMap;
@@ -10,7 +11,7 @@
 import org.sycamoretrack.transport.process.Json;
 
 /**
- * Writes logs as JSON lines to the standard error stream.
+ * Writes logs as JSON lines to the standard output stream, without ever blocking on it.
  *
  * <p>Each line has {@code time}, {@code level}, {@code node}, {@code zone}, {@code logger} and
  * {@code event}. An event of the same logger is written at most {@value #MAX_PER_SECOND} times a
@@ -24,10 +25,15 @@
   private static final int MAX_TRACKED_EVENTS = 1_000;
   private static final long SECOND_NANOS = 1_000_000_000L;
 
+  /** Lines that wait while nobody reads: a second of a busy node, under 2 MB. */
+  private static final int MAX_WAITING_LINES = 4_096;
+
+  private static final LogWriter WRITER =
+      new LogWriter(new FileOutputStream(FileDescriptor.out), MAX_WAITING_LINES);
+
   private static volatile String nodeId = "";
   private static volatile String zone = "";
 
-  private final PrintStream out = System.err;
   private final Map<String, Rate> rates = new HashMap<>();
 
   /** Creates the finder; called by the service loader. */
@@ -44,6 +50,15 @@
     zone = newZone;
   }
 
+  /**
+   * Waits until what was logged is written; for the end of the process.
+   *
+   * @param timeoutMs the longest wait, in milliseconds
+   */
+  public static void drain(long timeoutMs) {
+    WRITER.drain(timeoutMs);
+  }
+
   @Override
   public System.Logger getLogger(String name, Module module) {
     return new JsonLogger(name);
@@ -69,7 +84,7 @@
     if (suppressed > 0) {
       line.put("suppressed", suppressed);
     }
-    out.println(line);
+    WRITER.write(line.toString());
   }
 
   private static String firstFrame(Throwable thrown) {
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/LogWriter.java
@@ -0,0 +1,106 @@
+package org.sycamoretrack.daemon.process;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes lines to a stream on a thread of its own, so that a reader who doesn't read blocks nobody.
+ *
+ * <p>Lines wait in a bounded queue. A line that finds it full is dropped and counted, and the next
+ * line that is written says how many were.
+ */
+final class LogWriter {
+  private static final int MAX_BATCH = 256;
+  private static final long DRAIN_POLL_MS = 5;
+
+  private final OutputStream out;
+  private final BlockingQueue<String> lines;
+  private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong accepted = new AtomicLong();
+  private final AtomicLong written = new AtomicLong();
+
+  /**
+   * Starts a writer.
+   *
+   * @param out the stream
+   * @param capacity the most lines that wait
+   */
+  LogWriter(OutputStream out, int capacity) {
+    this.out = out;
+    this.lines = new ArrayBlockingQueue<>(capacity);
+    Thread thread = new Thread(this::run, "log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /**
+   * Puts a line into the queue. Never blocks.
+   *
+   * @param line the line, without its end
+   */
+  void write(String line) {
+    if (lines.offer(line)) {
+      accepted.incrementAndGet();
+    } else {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /**
+   * Waits until what was accepted so far is written.
+   *
+   * @param timeoutMs the longest wait, in milliseconds
+   */
+  void drain(long timeoutMs) {
+    long target = accepted.get();
+    long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    while (written.get() < target && System.nanoTime() < endNanos) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private void run() {
+    List<String> batch = new ArrayList<>();
+    try {
+      while (true) {
+        batch.add(lines.take());
+        lines.drainTo(batch, MAX_BATCH);
+        writeBatch(batch);
+        written.addAndGet(batch.size());
+        batch.clear();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      // There is nowhere left to report it; later lines are dropped.
+      lines.clear();
+    }
+  }
+
+  private void writeBatch(List<String> batch) throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (String line : batch) {
+      text.append(line).append('\n');
+    }
+    long lost = dropped.getAndSet(0);
+    if (lost > 0) {
+      text.append("{\"level\":\"WARNING\",\"event\":\"log-lines-dropped\",\"count\":")
+          .append(lost)
+          .append("}\n");
+    }
+    out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Sycamoretrackd.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Sycamoretrackd.java
@@ -22,6 +22,10 @@
 public final class Sycamoretrackd {
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_USAGE = 2;
+
+  /** The last lines of a process are worth a moment. */
+  private static final long LOG_DRAIN_MS = 200;
+
   private static final System.Logger LOG = System.getLogger(Sycamoretrackd.class.getName());
 
   @Parameter(names = "--settings", description = "JSON file with the node's settings")
@@ -102,6 +106,7 @@
             () -> {
               node.stop();
               stopped.countDown();
+              JsonLog.drain(LOG_DRAIN_MS);
               Runtime.getRuntime().halt(0);
             },
             "stop");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -17,8 +17,10 @@
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
+import org.sycamoretrack.daemon.request.batch.BatchJanitor;
 import org.sycamoretrack.daemon.request.batch.BatchService;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
@@ -37,18 +39,6 @@
  * control loop publishes what it knows as immutable views.
  */
 public final class RolloutNode implements NodeServices {
-  /** Names of the node, where it listens, and what its platform grants. */
-  public record Settings(
-      String nodeId,
-      String zone,
-      InetSocketAddress callerAddress,
-      InetSocketAddress readyAddress,
-      String peerAddress,
-      int maxBodyBytes,
-      int maxConcurrentLoads,
-      long graceMs,
-      long cancelMs) {}
-
   /** A route that isn't known is refused for good only while the manifest is this young. */
   private static final long CURRENT_MS = 1_400;
 
@@ -57,6 +47,9 @@
 
   private static final long TICK_MS = 200;
 
+  /** A sweep costs a call for each batch that is kept; batches are kept for some minutes. */
+  private static final long SWEEP_INTERVAL_MS = 120_000;
+
   /** Nodes that try for the order lease: enough for one zone to be lost. */
   private static final int LEASE_CANDIDATES = 3;
 
@@ -72,7 +65,7 @@
   private static final long POLL_STOP_MS = 50;
   private static final System.Logger LOG = System.getLogger(RolloutNode.class.getName());
 
-  private final Settings settings;
+  private final RolloutSettings settings;
   private final String incarnation = UUID.randomUUID().toString();
   private final EventLoopGroup controlGroup = EventLoops.start("control", 1);
   private final EventLoopGroup trafficGroup = EventLoops.start("traffic", 1);
@@ -86,11 +79,12 @@
   private final OrphanWatch orphans;
   private final OrderHolder orders;
   private final BatchComponents components;
+  private final BatchJanitor janitor;
   private final HttpServer callers;
   private final HttpServer readiness;
   private volatile boolean stopping;
 
-  private RolloutNode(Settings settings, PlatformAdapter adapter) {
+  private RolloutNode(RolloutSettings settings, PlatformAdapter adapter) {
     this.settings = settings;
     PartitionedStore straight = adapter.store(controlGroup);
     this.link = startLink(settings);
@@ -128,6 +122,12 @@
             controlLoop,
             self,
             settings.maxConcurrentLoads());
+    this.janitor =
+        new BatchJanitor(
+            controlStore,
+            settings.resultsPromisedMs(),
+            batchId -> watch.view().owners().containsKey(batchId),
+            System::currentTimeMillis);
     this.readiness =
         HttpServer.builder()
             .group(trafficGroup)
@@ -149,12 +149,14 @@
    * @param settings its settings
    * @param adapter its platform
    */
-  public static RolloutNode start(Settings settings, PlatformAdapter adapter) {
+  public static RolloutNode start(RolloutSettings settings, PlatformAdapter adapter) {
     RolloutNode node = new RolloutNode(settings, adapter);
     node.watch.start();
     node.registry.start();
     node.orders.start();
     node.controlLoop.scheduleAtFixedRate(node::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    node.controlLoop.scheduleAtFixedRate(
+        node::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     LOG.log(
         System.Logger.Level.INFO,
         LogEvent.of("node-started")
@@ -163,21 +165,15 @@
     return node;
   }
 
-  private PeerLink startLink(Settings node) {
+  private PeerLink startLink(RolloutSettings node) {
     PeerIdentity identity = new PeerIdentity(node.nodeId(), node.zone(), "", 0, node.peerAddress());
     return PeerLink.builder()
         .group(controlGroup)
-        .address(socketAddress(node.peerAddress()))
+        .address(Addresses.parse(node.peerAddress()))
         .identity(() -> identity)
         .start();
   }
 
-  private static InetSocketAddress socketAddress(String text) {
-    int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-  }
-
   /** Nodes of the own zone carry calls of the store first, since a cut zone keeps them together. */
   private void onNodes() {
     relay.setPeers(
@@ -223,6 +219,13 @@
     return orders.epoch();
   }
 
+  /** Old batches are removed by the holder of the order lease, so that one node looks for them. */
+  private void sweep() {
+    if (orders.epoch() > 0 && !stopping) {
+      janitor.sweep();
+    }
+  }
+
   @Override
   public Optional<Manifest> manifest() {
     return watch.view().manifest();
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutSettings.java
@@ -0,0 +1,187 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/** What a {@link RolloutNode} knows of itself and of what its platform grants. Immutable. */
+public final class RolloutSettings {
+  private final String nodeId;
+  private final String zone;
+  private final InetSocketAddress callerAddress;
+  private final InetSocketAddress readyAddress;
+  private final String peerAddress;
+  private final int maxBodyBytes;
+  private final int maxConcurrentLoads;
+  private final long graceMs;
+  private final long cancelMs;
+  private final long resultsPromisedMs;
+
+  private RolloutSettings(Builder builder) {
+    this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
+    this.zone = Objects.requireNonNull(builder.zone, "zone");
+    this.callerAddress = Objects.requireNonNull(builder.callerAddress, "callerAddress");
+    this.readyAddress = Objects.requireNonNull(builder.readyAddress, "readyAddress");
+    this.peerAddress = Objects.requireNonNull(builder.peerAddress, "peerAddress");
+    this.maxBodyBytes = builder.maxBodyBytes;
+    this.maxConcurrentLoads = builder.maxConcurrentLoads;
+    this.graceMs = builder.graceMs;
+    this.cancelMs = builder.cancelMs;
+    this.resultsPromisedMs = builder.resultsPromisedMs;
+  }
+
+  /** Returns a builder; all values are required. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the name of the node, unique in the deployment. */
+  public String nodeId() {
+    return nodeId;
+  }
+
+  /** Returns its availability zone. */
+  public String zone() {
+    return zone;
+  }
+
+  /** Returns where callers connect; port 0 takes a free one. */
+  public InetSocketAddress callerAddress() {
+    return callerAddress;
+  }
+
+  /** Returns where the platform asks for readiness. */
+  public InetSocketAddress readyAddress() {
+    return readyAddress;
+  }
+
+  /** Returns where peers connect, {@code ip:port}. */
+  public String peerAddress() {
+    return peerAddress;
+  }
+
+  /** Returns the largest body of a call. */
+  public int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  /** Returns how many endpoints may load weights at once. */
+  public int maxConcurrentLoads() {
+    return maxConcurrentLoads;
+  }
+
+  /** Returns the time between the request to stop and the end of the process, in milliseconds. */
+  public long graceMs() {
+    return graceMs;
+  }
+
+  /** Returns the time after which an ended batch must start nothing more, in milliseconds. */
+  public long cancelMs() {
+    return cancelMs;
+  }
+
+  /** Returns how long results are promised after a submission, in milliseconds. */
+  public long resultsPromisedMs() {
+    return resultsPromisedMs;
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RolloutSettings that
+        && nodeId.equals(that.nodeId)
+        && zone.equals(that.zone)
+        && callerAddress.equals(that.callerAddress)
+        && readyAddress.equals(that.readyAddress)
+        && peerAddress.equals(that.peerAddress)
+        && maxBodyBytes == that.maxBodyBytes
+        && maxConcurrentLoads == that.maxConcurrentLoads
+        && graceMs == that.graceMs
+        && cancelMs == that.cancelMs
+        && resultsPromisedMs == that.resultsPromisedMs;
+  }
+
+  @Override
+  public int hashCode() {
+    return Objects.hash(nodeId, callerAddress, peerAddress);
+  }
+
+  /** Builds {@link RolloutSettings}. */
+  public static final class Builder {
+    private String nodeId;
+    private String zone;
+    private InetSocketAddress callerAddress;
+    private InetSocketAddress readyAddress;
+    private String peerAddress;
+    private int maxBodyBytes;
+    private int maxConcurrentLoads;
+    private long graceMs;
+    private long cancelMs;
+    private long resultsPromisedMs;
+
+    private Builder() {}
+
+    /** Sets the name of the node, unique in the deployment. */
+    public Builder nodeId(String value) {
+      this.nodeId = value;
+      return this;
+    }
+
+    /** Sets its availability zone. */
+    public Builder zone(String value) {
+      this.zone = value;
+      return this;
+    }
+
+    /** Sets where callers connect; port 0 takes a free one. */
+    public Builder callerAddress(InetSocketAddress value) {
+      this.callerAddress = value;
+      return this;
+    }
+
+    /** Sets where the platform asks for readiness. */
+    public Builder readyAddress(InetSocketAddress value) {
+      this.readyAddress = value;
+      return this;
+    }
+
+    /** Sets where peers connect, {@code ip:port}. */
+    public Builder peerAddress(String value) {
+      this.peerAddress = value;
+      return this;
+    }
+
+    /** Sets the largest body of a call. */
+    public Builder maxBodyBytes(int value) {
+      this.maxBodyBytes = value;
+      return this;
+    }
+
+    /** Sets how many endpoints may load weights at once. */
+    public Builder maxConcurrentLoads(int value) {
+      this.maxConcurrentLoads = value;
+      return this;
+    }
+
+    /** Sets the time between the request to stop and the end of the process, in milliseconds. */
+    public Builder graceMs(long value) {
+      this.graceMs = value;
+      return this;
+    }
+
+    /** Sets the time after which an ended batch must start nothing more, in milliseconds. */
+    public Builder cancelMs(long value) {
+      this.cancelMs = value;
+      return this;
+    }
+
+    /** Sets how long results are promised after a submission, in milliseconds. */
+    public Builder resultsPromisedMs(long value) {
+      this.resultsPromisedMs = value;
+      return this;
+    }
+
+    /** Returns the settings. */
+    public RolloutSettings build() {
+      return new RolloutSettings(this);
+    }
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/StoreRelay.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/StoreRelay.java
@@ -20,6 +20,7 @@
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Changes;
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
+import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.rollout.StoreMessage.Call;
 import org.sycamoretrack.daemon.process.rollout.StoreMessage.Reply;
@@ -71,13 +72,7 @@
     this.loop = loop;
     link.onMessage(Call.TYPE, Call::read, this::onCall);
     link.onMessage(Reply.TYPE, Reply::read, (from, reply) -> onReply(reply));
-    link.onIntroduced(peer -> link.dial(address(peer.address())));
-  }
-
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    link.onIntroduced(peer -> link.dial(Addresses.parse(peer.address())));
   }
 
   /**
@@ -86,7 +81,7 @@
    * @param addresses where they accept connections, the best ones first
    */
   void setPeers(List<String> addresses) {
-    peers = addresses.stream().limit(MAX_PEERS).map(StoreRelay::address).toList();
+    peers = addresses.stream().limit(MAX_PEERS).map(Addresses::parse).toList();
   }
 
   /** Connects to peers, so that calls can go over them. */
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/ManagedProcess.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/ManagedProcess.java
@@ -1,10 +1,15 @@
 package org.sycamoretrack.standins.driver;
 
+import static java.nio.file.StandardOpenOption.APPEND;
+import static java.nio.file.StandardOpenOption.CREATE;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -14,8 +19,8 @@
 import org.sycamoretrack.transport.process.Json;
 
 /**
- * An operating-system process that prints one line of JSON when it is ready, and logs on standard
- * error to a file.
+ * An operating-system process that prints one line of JSON when it is ready; all else that it
+ * prints is its log, which is kept in a file.
  */
 public final class ManagedProcess {
   private static final int READY_TIMEOUT_MS = 60_000;
@@ -56,10 +61,13 @@
   }
 
   private void readOutput() {
-    try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
+    try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8);
+        Writer logWriter = Files.newBufferedWriter(log, CREATE, APPEND)) {
       for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-        if (!ready.isDone() && line.startsWith("{")) {
+        if (!ready.isDone() && isReadyLine(line)) {
           ready.complete(Json.parse(line.getBytes(StandardCharsets.UTF_8)));
+        } else {
+          logWriter.append(line).append('\n').flush();
         }
       }
     } catch (IOException e) {
@@ -68,6 +76,11 @@
     ready.completeExceptionally(new IllegalStateException(name + " ended; see " + log));
   }
 
+  /** Tells the line that says that the process is ready from a line of its log. */
+  private static boolean isReadyLine(String line) {
+    return line.startsWith("{") && !line.contains("\"logger\":");
+  }
+
   /**
    * Waits until the process is ready.
    *
