Split reading from keeping batches; call endpoints endpoints

Change: BatchReader reads batches of any node; SamplerClient is EndpointClient outside platform/; MonotonicClock is in core. Behaviour is unchanged.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/MonotonicClock.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/MonotonicClock.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.version.deployment;
+package org.sycamoretrack.core.process;
 
 import java.util.concurrent.TimeUnit;
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/farend/SamplerClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/EndpointClient.java
@@ -13,7 +13,7 @@
  * <p>Every request names the endpoint that it is meant for, so that another one at the same address
  * doesn't run it. Listeners are called on the event loop of the client.
  */
-public interface SamplerClient {
+public interface EndpointClient {
   /**
    * A caller's request as it is passed on.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.process.ownership.NodeTable;
 import org.sycamoretrack.daemon.farend.Failures;
@@ -18,7 +19,6 @@
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * Keeps this node's row in the table of nodes, and reads those of the others.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/OrphanWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/OrphanWatch.java
@@ -3,9 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.ownership.NodeTable;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * Finds open batches whose owner is gone and says when this node should take one over.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/PlatformAdapter.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/PlatformAdapter.java
@@ -2,8 +2,8 @@
 
 import io.netty.channel.EventLoopGroup;
 import org.sycamoretrack.daemon.farend.DeploymentCodec;
+import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
-import org.sycamoretrack.daemon.farend.SamplerClient;
 import org.sycamoretrack.transport.request.HttpHandler;
 
 /** What a platform brings to a node: its store, its endpoints, and the form of its calls. */
@@ -20,7 +20,7 @@
    *
    * @param group the loop that it answers on
    */
-  SamplerClient samplers(EventLoopGroup group);
+  EndpointClient endpoints(EventLoopGroup group);
 
   /** Returns what reads the rows of operators, trainers and endpoints. */
   DeploymentCodec codec();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RelayedStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RelayedStore.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.daemon.farend.Failures;
@@ -16,7 +17,6 @@
 import org.sycamoretrack.daemon.process.rollout.StoreMessage.Call;
 import org.sycamoretrack.daemon.process.rollout.StoreMessage.Reply;
 import org.sycamoretrack.daemon.process.rollout.StoreMessage.Result;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * The store, straight or over a peer.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -25,7 +26,6 @@
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 import org.sycamoretrack.daemon.version.deployment.DeploymentWatch;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 import org.sycamoretrack.daemon.version.weights.OrderHolder;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpServer;
@@ -101,7 +101,7 @@
     this.components =
         BatchComponents.builder()
             .store(trafficStore)
-            .sampler(adapter.samplers(trafficGroup))
+            .endpoints(adapter.endpoints(trafficGroup))
             .views(watch::view)
             .loop(trafficLoop)
             .nodeId(settings.nodeId())
@@ -117,7 +117,7 @@
     this.orders =
         new OrderHolder(
             controlStore,
-            adapter.samplers(controlGroup),
+            adapter.endpoints(controlGroup),
             watch::view,
             controlLoop,
             self,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotLedger;
 import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
-import org.sycamoretrack.daemon.farend.SamplerClient;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
@@ -19,11 +19,12 @@
     SlotLedger ledger = new SlotLedger();
     SlotPlacement placement = new SlotPlacement(ledger, builder.zone);
     BatchScheduler scheduler =
-        new BatchScheduler(builder.sampler, builder.views, ledger, placement, builder.loop);
+        new BatchScheduler(builder.endpoints, builder.views, ledger, placement, builder.loop);
     this.batches =
         new BatchService(
             builder.store, scheduler, builder.loop, builder.nodeId, builder.incarnation);
-    this.forwarder = new Forwarder(builder.sampler, builder.views, ledger, placement, builder.loop);
+    this.forwarder =
+        new Forwarder(builder.endpoints, builder.views, ledger, placement, builder.loop);
   }
 
   /** Returns a builder. */
@@ -44,7 +45,7 @@
   /** Builds {@link BatchComponents}; all values are required. */
   public static final class Builder {
     private PartitionedStore store;
-    private SamplerClient sampler;
+    private EndpointClient endpoints;
     private Supplier<DeploymentView> views;
     private EventLoop loop;
     private String nodeId;
@@ -60,8 +61,8 @@
     }
 
     /** Sets what sends to endpoints, and answers on the loop. */
-    public Builder sampler(SamplerClient value) {
-      this.sampler = value;
+    public Builder endpoints(EndpointClient value) {
+      this.endpoints = value;
       return this;
     }
 
@@ -98,7 +99,7 @@
     /** Returns the components. */
     public BatchComponents build() {
       Objects.requireNonNull(store, "store");
-      Objects.requireNonNull(sampler, "sampler");
+      Objects.requireNonNull(endpoints, "endpoints");
       Objects.requireNonNull(views, "views");
       Objects.requireNonNull(loop, "loop");
       Objects.requireNonNull(nodeId, "nodeId");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -11,14 +11,14 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotLedger;
 import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.ItemOrder;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.MovePolicy;
 import org.sycamoretrack.core.version.fleet.Endpoint;
-import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * Gives free slots of endpoints to the waiting items of the batches that this node owns.
@@ -37,7 +37,7 @@
   /** The usual number of tokens of an event, for estimates only. */
   private static final int TOKENS_PER_EVENT = 50;
 
-  private final SamplerClient sampler;
+  private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
   private final SlotLedger ledger;
   private final SlotPlacement placement;
@@ -50,12 +50,12 @@
   private boolean stopped;
 
   BatchScheduler(
-      SamplerClient sampler,
+      EndpointClient endpoints,
       Supplier<DeploymentView> views,
       SlotLedger ledger,
       SlotPlacement placement,
       EventLoop loop) {
-    this.sampler = sampler;
+    this.endpoints = endpoints;
     this.views = views;
     this.ledger = ledger;
     this.placement = placement;
@@ -63,8 +63,8 @@
     loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
-  SamplerClient sampler() {
-    return sampler;
+  EndpointClient endpoints() {
+    return endpoints;
   }
 
   SlotLedger ledger() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,25 +10,23 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
-import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.OpenBatch;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionWrite;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
-import org.sycamoretrack.daemon.farend.PartitionedStore.Page;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
- * Accepts batches, runs those that this node owns, and reads and ends any.
+ * Accepts batches, runs those that this node owns, and ends any; {@link #reader} reads any.
  *
  * <p>The store is the authority: a batch is accepted when its rows are committed, and what readers
  * see are committed rows, at whatever node they ask. The node that accepts a batch is its first
@@ -43,17 +40,6 @@
 
   private static final long RETRY_MS = 150;
 
-  /** Wait between two reads of results that another node lists; half of the submitters' own. */
-  private static final long POLL_MS = 250;
-
-  /** Text of one answer; its form is larger, and an answer may have 1 MB. */
-  private static final int MAX_ANSWER_BYTES = 600_000;
-
-  /** Rows of one read: at 8 KB a text, within the store's 1 MB of a page. */
-  private static final int RESULT_ROWS = 100;
-
-  private static final int SCAN_ROWS = 500;
-  private static final int MAX_KNOWN_HEADS = 2_000;
   private static final System.Logger LOG = System.getLogger(BatchService.class.getName());
 
   /** How a submission ended. */
@@ -66,20 +52,6 @@
     UNKNOWN
   }
 
-  /**
-   * A part of the results of a batch.
-   *
-   * @param total the number of its items
-   * @param from the position of the first result
-   * @param results the results
-   */
-  public record Results(int total, int from, List<ItemResult> results) {
-    /** Copies the results. */
-    public Results {
-      results = List.copyOf(results);
-    }
-  }
-
   private final PartitionedStore store;
   private final BatchScheduler scheduler;
   private final EventLoop loop;
@@ -87,16 +59,7 @@
   private final String incarnation;
   private final Map<String, BatchRunner> runners = new HashMap<>();
   private final Map<String, Boolean> takingOver = new HashMap<>();
-  private final Map<String, List<Runnable>> waitingReaders = new HashMap<>();
-  private final Map<String, BatchJournal.Head> heads =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, BatchJournal.Head> eldest) {
-          return size() > MAX_KNOWN_HEADS;
-        }
-      };
+  private final BatchReader reader;
   private boolean stopping;
 
   /**
@@ -119,6 +82,7 @@
     this.loop = loop;
     this.nodeId = nodeId;
     this.incarnation = incarnation;
+    this.reader = new BatchReader(store, loop, this::openSubmission);
   }
 
   /** Returns the number of batches that this node runs. */
@@ -293,9 +257,10 @@
   /** Reads a batch that this node owns by the store's word, and goes on with it. */
   private CompletionStage<Void> load(Owner owner) {
     String batchId = owner.batchId();
-    return scanAll(BatchJournal.BATCH, batchId, "", new ArrayList<>())
+    return reader
+        .scanAll(BatchJournal.BATCH, batchId, "", new ArrayList<>())
         .thenCombine(
-            scanAll(BatchJournal.RESULT, batchId, "", new ArrayList<>()),
+            reader.scanAll(BatchJournal.RESULT, batchId, "", new ArrayList<>()),
             (rows, resultRows) -> {
               BatchSubmission submission = BatchJournal.readSubmission(batchId, rows);
               List<String> listed =
@@ -316,21 +281,6 @@
             });
   }
 
-  private CompletionStage<List<Row>> scanAll(
-      String table, String partition, String fromKey, List<Row> found) {
-    return store
-        .scan(table, partition, fromKey, SCAN_ROWS)
-        .thenCompose(
-            page -> {
-              found.addAll(page.rows());
-              if (!page.more()) {
-                return CompletableFuture.completedFuture(found);
-              }
-              String last = page.rows().get(page.rows().size() - 1).key();
-              return scanAll(table, partition, last + '\0', found);
-            });
-  }
-
   /**
    * Takes what the store says of the owners. A batch that has another owner now, or none, is run no
    * more.
@@ -355,12 +305,13 @@
     }
   }
 
+  private Optional<BatchSubmission> openSubmission(String batchId) {
+    return Optional.ofNullable(runners.get(batchId)).map(runner -> runner.batch().submission());
+  }
+
   @Override
   public void onListed(String batchId) {
-    List<Runnable> readers = waitingReaders.remove(batchId);
-    if (readers != null) {
-      readers.forEach(Runnable::run);
-    }
+    reader.onListed(batchId);
   }
 
   @Override
@@ -369,150 +320,9 @@
     onListed(runner.owner().batchId());
   }
 
-  /**
-   * Reads results.
-   *
-   * @param batchId the batch
-   * @param from the position of the first one
-   * @param waitMs how long to wait for one, in milliseconds
-   * @return the results, empty when there is no such batch
-   */
-  public CompletionStage<Optional<Results>> results(String batchId, int from, long waitMs) {
-    return head(batchId)
-        .thenCompose(
-            head ->
-                head.isEmpty()
-                    ? CompletableFuture.completedFuture(Optional.<Results>empty())
-                    : new Reading(batchId, head.get().itemCount(), from, waitMs).read());
-  }
-
-  /** One read of results, repeated until there is one or the time is up. */
-  private final class Reading {
-    private final String batchId;
-    private final int total;
-    private final int from;
-    private final long untilMs;
-    private final CompletableFuture<Optional<Results>> outcome = new CompletableFuture<>();
-
-    private Reading(String batchId, int total, int from, long waitMs) {
-      this.batchId = batchId;
-      this.total = total;
-      this.from = from;
-      this.untilMs = MonotonicClock.nowMs() + waitMs;
-    }
-
-    private CompletionStage<Optional<Results>> read() {
-      store
-          .scan(BatchJournal.RESULT, batchId, BatchJournal.firstRowKey(from), RESULT_ROWS)
-          .whenComplete(
-              Failures.logged(
-                  (page, failure) -> {
-                    if (failure != null) {
-                      outcome.completeExceptionally(failure);
-                    } else {
-                      onPage(page);
-                    }
-                  }));
-      return outcome;
-    }
-
-    private void onPage(Page page) {
-      List<ItemResult> results = wholeResults(page);
-      long restMs = untilMs - MonotonicClock.nowMs();
-      if (!results.isEmpty() || restMs <= 0 || from >= total) {
-        outcome.complete(Optional.of(new Results(total, from, results)));
-      } else if (runners.containsKey(batchId)) {
-        await(restMs);
-      } else {
-        loop.schedule(this::read, Math.min(restMs, POLL_MS), TimeUnit.MILLISECONDS);
-      }
-    }
-
-    private void await(long restMs) {
-      boolean[] woken = {false};
-      Runnable wake =
-          () -> {
-            if (!woken[0]) {
-              woken[0] = true;
-              read();
-            }
-          };
-      waitingReaders.computeIfAbsent(batchId, any -> new ArrayList<>()).add(wake);
-      loop.schedule(wake, restMs, TimeUnit.MILLISECONDS);
-    }
-
-    /** Drops a last result that the page may have cut, and what is over the size of an answer. */
-    private List<ItemResult> wholeResults(Page page) {
-      List<Row> rows = new ArrayList<>(page.rows());
-      if (page.more() && !rows.isEmpty()) {
-        String lastPosition = position(rows.get(rows.size() - 1));
-        boolean only = position(rows.get(0)).equals(lastPosition);
-        if (!only) {
-          rows.removeIf(row -> position(row).equals(lastPosition));
-        }
-      }
-      List<ItemResult> results = BatchJournal.readResults(rows);
-      int bytes = 0;
-      int count = 0;
-      while (count < results.size() && (count == 0 || bytes < MAX_ANSWER_BYTES)) {
-        bytes += results.get(count).text().length();
-        count++;
-      }
-      return results.subList(0, count);
-    }
-
-    private static String position(Row row) {
-      return row.key().substring(0, row.key().indexOf('.'));
-    }
-  }
-
-  private CompletionStage<Optional<BatchJournal.Head>> head(String batchId) {
-    BatchJournal.Head known = heads.get(batchId);
-    if (known != null) {
-      return CompletableFuture.completedFuture(Optional.of(known));
-    }
-    return store
-        .scan(BatchJournal.BATCH, batchId, BatchJournal.HEAD, 1)
-        .thenApply(
-            page -> {
-              boolean found =
-                  !page.rows().isEmpty() && page.rows().get(0).key().equals(BatchJournal.HEAD);
-              if (!found) {
-                return Optional.empty();
-              }
-              BatchJournal.Head head = BatchJournal.readHead(page.rows().get(0));
-              heads.put(batchId, head);
-              return Optional.of(head);
-            });
-  }
-
-  /**
-   * Returns the body of an item.
-   *
-   * @param batchId the batch
-   * @param itemId the item
-   * @return the body, empty when there is no such item
-   */
-  public CompletionStage<Optional<byte[]>> itemBody(String batchId, String itemId) {
-    BatchRunner runner = runners.get(batchId);
-    if (runner != null) {
-      return CompletableFuture.completedFuture(body(runner.batch().submission(), itemId));
-    }
-    return scanAll(BatchJournal.BATCH, batchId, "", new ArrayList<>())
-        .thenApply(
-            rows -> {
-              boolean exists = rows.stream().anyMatch(row -> row.key().equals(BatchJournal.HEAD));
-              return exists
-                  ? body(BatchJournal.readSubmission(batchId, rows), itemId)
-                  : Optional.empty();
-            });
-  }
-
-  private static Optional<byte[]> body(BatchSubmission batch, String itemId) {
-    return batch.items().stream()
-        .filter(item -> item.id().equals(itemId))
-        .map(BatchItem::body)
-        .findFirst();
+  /** Returns what reads batches of any node. */
+  public BatchReader reader() {
+    return reader;
   }
 
   /**
@@ -522,7 +332,8 @@
    * @return whether there is such a batch
    */
   public CompletionStage<Boolean> end(String batchId) {
-    return head(batchId)
+    return reader
+        .head(batchId)
         .thenCompose(
             head -> {
               if (head.isEmpty()) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -1,12 +1,12 @@
 package org.sycamoretrack.daemon.request.batch;
 
 import org.sycamoretrack.core.connection.SlotLedger;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.version.fleet.Endpoint;
-import org.sycamoretrack.daemon.farend.SamplerClient;
+import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.process.LogEvent;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 import org.sycamoretrack.transport.request.HttpCall;
 
 /**
@@ -16,7 +16,7 @@
  *
  * <p>Confined to the traffic loop.
  */
-final class ItemRun implements SamplerClient.ItemListener {
+final class ItemRun implements EndpointClient.ItemListener {
   /** Events come each 50 ms; an endpoint at a fifth of its speed still sends four in this time. */
   private static final long SILENCE_MS = 1_200;
 
@@ -60,7 +60,7 @@
 
   void start(String host) {
     scheduler.ledger().onSent(endpoint.id());
-    call = scheduler.sampler().run(endpoint, host, item.item(), startedAfter, this);
+    call = scheduler.endpoints().run(endpoint, host, item.item(), startedAfter, this);
   }
 
   ItemProgress item() {
@@ -108,7 +108,7 @@
   }
 
   @Override
-  public void onStart(int version, SamplerClient.Load load) {
+  public void onStart(int version, EndpointClient.Load load) {
     if (ended) {
       return;
     }
@@ -158,7 +158,7 @@
   }
 
   @Override
-  public void onEnd(SamplerClient.RunEnd end, String reason) {
+  public void onEnd(EndpointClient.RunEnd end, String reason) {
     if (ended) {
       return;
     }
@@ -166,7 +166,7 @@
     SlotLedger ledger = scheduler.ledger();
     long nowMs = MonotonicClock.nowMs();
     ledger.onEnded(endpoint.id());
-    if (end == SamplerClient.RunEnd.COMPLETE && cancelReason == null) {
+    if (end == EndpointClient.RunEnd.COMPLETE && cancelReason == null) {
       ledger.onFinished(endpoint.id());
       runner.finish(item, true, reason);
       return;
@@ -199,14 +199,14 @@
     endItem(end, why, nowMs);
   }
 
-  private void endItem(SamplerClient.RunEnd end, String reason, long nowMs) {
-    boolean failed = end == SamplerClient.RunEnd.FAILED;
+  private void endItem(EndpointClient.RunEnd end, String reason, long nowMs) {
+    boolean failed = end == EndpointClient.RunEnd.FAILED;
     boolean progressed = item.text().lastEvent() > startedAfter;
     int factor = Math.min(MAX_RETRY_FACTOR, item.interruptions());
     boolean refused =
-        end == SamplerClient.RunEnd.NOT_RUN || end == SamplerClient.RunEnd.UNREACHABLE;
+        end == EndpointClient.RunEnd.NOT_RUN || end == EndpointClient.RunEnd.UNREACHABLE;
     item.onEnded(failed, progressed, nowMs + (refused ? 0 : RETRY_MS * factor));
-    if (end == SamplerClient.RunEnd.IMPOSSIBLE
+    if (end == EndpointClient.RunEnd.IMPOSSIBLE
         || item.failures() >= runner.batch().submission().terms().attempts()) {
       runner.finish(item, false, reason);
     } else {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -7,14 +7,14 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.core.version.routing.RouteKind;
-import org.sycamoretrack.daemon.farend.SamplerClient;
-import org.sycamoretrack.daemon.farend.SamplerClient.Attempt;
-import org.sycamoretrack.daemon.farend.SamplerClient.PlainRequest;
+import org.sycamoretrack.daemon.farend.EndpointClient;
+import org.sycamoretrack.daemon.farend.EndpointClient.Attempt;
+import org.sycamoretrack.daemon.farend.EndpointClient.PlainRequest;
 import org.sycamoretrack.daemon.process.LogEvent;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 import org.sycamoretrack.transport.request.HttpCall;
 
 /**
@@ -109,7 +109,7 @@
     forwarder.ledger().onSent(endpoint.id());
     HttpCall call =
         forwarder
-            .sampler()
+            .endpoints()
             .send(endpoint, request, untilMs - nowMs, attempt -> onAttempt(endpoint, attempt));
     if (inFlight.contains(endpoint.id())) {
       running.put(endpoint.id(), call);
@@ -167,7 +167,7 @@
     }
   }
 
-  private void note(Endpoint endpoint, SamplerClient.Load load, long nowMs) {
+  private void note(Endpoint endpoint, EndpointClient.Load load, long nowMs) {
     if (load != null) {
       forwarder.ledger().onReport(endpoint.id(), load.running(), load.waiting(), nowMs);
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -8,12 +8,12 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotLedger;
 import org.sycamoretrack.core.connection.SlotPlacement;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
-import org.sycamoretrack.daemon.farend.SamplerClient;
-import org.sycamoretrack.daemon.farend.SamplerClient.PlainRequest;
+import org.sycamoretrack.daemon.farend.EndpointClient;
+import org.sycamoretrack.daemon.farend.EndpointClient.PlainRequest;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * Sends plain requests to endpoints of their service. Confined to the traffic loop.
@@ -21,7 +21,7 @@
  * <p>See {@link ForwardedCall} for what is sent more than once.
  */
 public final class Forwarder {
-  private final SamplerClient sampler;
+  private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
   private final SlotLedger ledger;
   private final SlotPlacement placement;
@@ -30,19 +30,19 @@
   /**
    * Creates a forwarder.
    *
-   * @param sampler sends to endpoints, and answers on the loop
+   * @param endpoints sends to endpoints, and answers on the loop
    * @param views what is known of the deployment
    * @param ledger the slots in use
    * @param placement chooses endpoints
    * @param loop the traffic loop
    */
   public Forwarder(
-      SamplerClient sampler,
+      EndpointClient endpoints,
       Supplier<DeploymentView> views,
       SlotLedger ledger,
       SlotPlacement placement,
       EventLoop loop) {
-    this.sampler = sampler;
+    this.endpoints = endpoints;
     this.views = views;
     this.ledger = ledger;
     this.placement = placement;
@@ -65,8 +65,8 @@
     return call;
   }
 
-  SamplerClient sampler() {
-    return sampler;
+  EndpointClient endpoints() {
+    return endpoints;
   }
 
   SlotLedger ledger() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.fleet.Fleet;
 import org.sycamoretrack.core.version.routing.Manifest;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Changes;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
@@ -21,21 +22,20 @@
 import org.sycamoretrack.core.version.weights.LoadPlanner.Named;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
 import org.sycamoretrack.core.version.weights.ModelAssignment;
+import org.sycamoretrack.daemon.farend.EndpointClient;
+import org.sycamoretrack.daemon.farend.EndpointClient.LoadOrder;
+import org.sycamoretrack.daemon.farend.EndpointClient.OrderAnswer;
+import org.sycamoretrack.daemon.farend.EndpointClient.WeightReport;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionWrite;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
-import org.sycamoretrack.daemon.farend.SamplerClient;
-import org.sycamoretrack.daemon.farend.SamplerClient.LoadOrder;
-import org.sycamoretrack.daemon.farend.SamplerClient.OrderAnswer;
-import org.sycamoretrack.daemon.farend.SamplerClient.WeightReport;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * Moves endpoints to the versions that trainers name, while this node holds the {@link OrderLease}.
@@ -59,7 +59,7 @@
   private static final long LOAD_TIMEOUT_MS = 5_000;
 
   private final PartitionedStore store;
-  private final SamplerClient sampler;
+  private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
   private final EventLoop loop;
   private final String nodeId;
@@ -80,7 +80,7 @@
    * Creates a holder.
    *
    * @param store the store, which answers on the loop
-   * @param sampler gives orders, and answers on the loop
+   * @param endpoints gives orders, and answers on the loop
    * @param views what is known of the deployment
    * @param loop the control loop
    * @param self this node
@@ -88,13 +88,13 @@
    */
   public OrderHolder(
       PartitionedStore store,
-      SamplerClient sampler,
+      EndpointClient endpoints,
       Supplier<DeploymentView> views,
       EventLoop loop,
       NodeRecord self,
       int maxConcurrentLoads) {
     this.store = store;
-    this.sampler = sampler;
+    this.endpoints = endpoints;
     this.views = views;
     this.loop = loop;
     this.nodeId = self.nodeId();
@@ -325,7 +325,7 @@
         return;
       }
       asking = true;
-      sampler
+      endpoints
           .report(endpoint)
           .whenComplete(
               Failures.logged(
@@ -373,7 +373,7 @@
               lease.epoch(),
               report.sequence());
       nextReportMs = MonotonicClock.nowMs() + FIRST_REPORT_MS;
-      sampler
+      endpoints
           .order(endpoint, order)
           .whenComplete(Failures.logged((answer, failure) -> onAnswer(order, answer, failure)));
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.process.Lease;
 import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SuspensionGuard;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.daemon.farend.Failures;
@@ -16,7 +17,6 @@
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /**
  * The lease on giving orders, kept as a row of the store.
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/rollout/OrphanWatchTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/rollout/OrphanWatchTest.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.process.ownership.NodeTable;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
-import org.sycamoretrack.daemon.version.deployment.MonotonicClock;
 
 /** Tests of {@link OrphanWatch}. */
 class OrphanWatchTest {
