Call nobody dead because the store was away

The timeout of heartbeats also stayed at 2 s while their interval grows with the number of nodes, so beyond 200 nodes all would have been dead. Change: a pause in the reads begins all watches anew; the timeout is four intervals. Tests: both cases, each failed before.

--- a/core/src/main/java/org/sycamoretrack/core/process/ownership/NodeTable.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/ownership/NodeTable.java
@@ -13,7 +13,8 @@
  *
  * <p>A node rewrites its row at an interval. Its row's version is watched as that of a lease: a
  * node whose row had one version for the whole timeout, counted in reads of this process only, is
- * dead. No clocks are compared, and a time without reads proves nothing.
+ * dead. No clocks are compared. A pause of more than half the timeout without reads proves nothing,
+ * since the nodes may have been unable to write as long: all rows are watched anew then.
  *
  * <p>Being wrong does no harm to correctness: what a node owns is guarded by conditional writes, so
  * taking over from a live node costs repeated work and nothing else.
@@ -22,8 +23,9 @@
  * tries at once, the others only after a delay that grows with their rank.
  */
 public final class NodeTable {
-  private final long timeoutMs;
+  private long timeoutMs;
   private final Map<String, Watched> nodes = new HashMap<>();
+  private long lastSentMs;
 
   /**
    * Creates an empty table.
@@ -34,6 +36,18 @@
     this.timeoutMs = timeoutMs;
   }
 
+  /**
+   * Sets for how long a live node's row may stay unchanged. A change begins all watches anew.
+   *
+   * @param newTimeoutMs the time in milliseconds
+   */
+  public void setTimeoutMs(long newTimeoutMs) {
+    if (newTimeoutMs != timeoutMs) {
+      timeoutMs = newTimeoutMs;
+      nodes.replaceAll((id, watched) -> new Watched(watched.node, new LeaseWatch(timeoutMs)));
+    }
+  }
+
   /**
    * Takes the rows of one read.
    *
@@ -42,7 +56,9 @@
    * @param answeredMs the monotonic time in milliseconds when it was answered
    */
   public void onRead(Map<NodeRecord, Long> rows, long sentMs, long answeredMs) {
-    Map<String, Watched> previous = new HashMap<>(nodes);
+    boolean paused = sentMs - lastSentMs > timeoutMs / 2;
+    Map<String, Watched> previous = paused ? Map.of() : new HashMap<>(nodes);
+    lastSentMs = sentMs;
     nodes.clear();
     rows.forEach(
         (node, version) -> {
--- a/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
@@ -21,6 +21,7 @@
   void aNodeDiesWhenItsRowStaysUnchanged() {
     NodeRecord node = node("a", "1", false);
     table.onRead(Map.of(node, 5L), 0, 10);
+    table.onRead(Map.of(node, 5L), 450, 460);
     table.onRead(Map.of(node, 5L), 900, 910);
     assertThat(table.isServing("a", "1")).isTrue();
 
@@ -41,6 +42,35 @@
     assertThat(table.isServing("a", "1")).isTrue();
   }
 
+  /** The store was away for 7 s, so nobody could write; the first read shows the rows of before. */
+  @Test
+  void anOutageOfTheStoreKillsNobody() {
+    NodeRecord node = node("a", "1", false);
+    table.onRead(Map.of(node, 5L), 0, 10);
+
+    table.onRead(Map.of(node, 5L), 7_000, 7_010);
+    assertThat(table.isServing("a", "1")).isTrue();
+    table.onRead(Map.of(node, 5L), 7_500, 7_510);
+    table.onRead(Map.of(node, 5L), 7_900, 7_910);
+    assertThat(table.isServing("a", "1")).isTrue();
+
+    table.onRead(Map.of(node, 5L), 8_020, 8_030);
+    assertThat(table.isServing("a", "1")).as("a whole timeout after the return").isFalse();
+  }
+
+  /** With many nodes the heartbeats come at longer intervals. */
+  @Test
+  void theTimeoutFollowsTheIntervalOfHeartbeats() {
+    NodeRecord node = node("a", "1", false);
+    table.setTimeoutMs(14_000);
+    for (long atMs = 0; atMs <= 10_500; atMs += 3_500) {
+      table.onRead(Map.of(node, 5L), atMs, atMs);
+    }
+    assertThat(table.isServing("a", "1")).isTrue();
+    table.onRead(Map.of(node, 5L), 14_000, 14_000);
+    assertThat(table.isServing("a", "1")).isFalse();
+  }
+
   @Test
   void anEarlierRunOfANodeServesNothing() {
     table.onRead(Map.of(node("a", "2", false), 5L), 0, 10);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeRegistry.java
@@ -217,6 +217,7 @@
     }
     readSentAtMs = sentMs;
     readAtMs = MonotonicClock.nowMs();
+    nodes.setTimeoutMs(MISSED_HEARTBEATS * intervalMs());
     nodes.onRead(rows, sentMs, readAtMs);
     List<NodeRecord> now = new ArrayList<>(nodes.live());
     logChanges(live, now);
