Read all pages in one place; derive what a runner kept twice

The loop over the pages of a partition stood in the watch of tables, the reader and the janitor; the larger of two slownesses was computed in two places, each time with two sorts for the median; a tick sorted all waiting items just to count them; a runner kept the commit under way beside the batch that has it. Change: PartitionedStore#scanAll, SlotLedger#worstSlowness, OpenBatch#waitingCount and OpenBatch#committing; a method that nobody called is gone. Behaviour is unchanged, and no test was touched.

--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotLedger.java
@@ -175,6 +175,18 @@
     return relativeToMedian(usage(endpointId).burstPaceMs, endpointId, nowMs);
   }
 
+  /**
+   * Returns the larger of {@link #slowness} and {@link #momentarySlowness}, which counts for an
+   * endpoint that is to take new work.
+   *
+   * @param endpointId the endpoint
+   * @param nowMs the time now
+   */
+  public double worstSlowness(String endpointId, long nowMs) {
+    Usage usage = usage(endpointId);
+    return relativeToMedian(Math.max(usage.paceMs, usage.burstPaceMs), endpointId, nowMs);
+  }
+
   private double relativeToMedian(double paceMs, String endpointId, long nowMs) {
     double median = medianPaceMs(nowMs);
     boolean measured = nowMs - usage(endpointId).paceAtMs <= PACE_VALID_MS;
--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
@@ -75,17 +75,12 @@
     return best;
   }
 
-  private double slowness(String endpointId, long nowMs) {
-    return Math.max(
-        ledger.slowness(endpointId, nowMs), ledger.momentarySlowness(endpointId, nowMs));
-  }
-
   private double cost(Endpoint endpoint, Set<String> preferred, long nowMs) {
     int slots = Math.max(1, endpoint.slots());
     double cost =
         (ledger.load(endpoint.id(), nowMs) + 1.0)
             / slots
-            * Math.max(1, slowness(endpoint.id(), nowMs));
+            * Math.max(1, ledger.worstSlowness(endpoint.id(), nowMs));
     if (ledger.isPaused(endpoint.id(), nowMs)) {
       cost += 1;
     }
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/OpenBatch.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/OpenBatch.java
@@ -53,6 +53,20 @@
     return items;
   }
 
+  /**
+   * Returns the number of items that wait for an endpoint.
+   *
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public int waitingCount(long nowMs) {
+    return (int) items.stream().filter(item -> item.isWaiting(nowMs)).count();
+  }
+
+  /** Returns the results of the commit under way, empty when there is none. */
+  public List<ItemResult> committing() {
+    return committing;
+  }
+
   /** Returns the number of listed results. */
   public int listed() {
     return listed;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/farend/PartitionedStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/PartitionedStore.java
@@ -1,6 +1,8 @@
 package org.sycamoretrack.daemon.farend;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /**
@@ -13,6 +15,9 @@
  * have taken effect, or may still do so as long as its conditions hold.
  */
 public interface PartitionedStore {
+  /** Rows of one read of {@link #scanAll}. */
+  int SCAN_ROWS = 500;
+
   /**
    * A row.
    *
@@ -109,6 +114,34 @@
    */
   CompletionStage<Page> scan(String table, String partition, String fromKey, int limit);
 
+  /**
+   * Reads all rows of a partition, page by page.
+   *
+   * @param table the table
+   * @param partition the partition
+   * @return the rows in the order of their keys, with the version of the first page: later changes
+   *     are shown by {@link #changes} after it
+   */
+  default CompletionStage<Page> scanAll(String table, String partition) {
+    return scan(table, partition, "", SCAN_ROWS)
+        .thenCompose(first -> addPages(table, partition, first, new ArrayList<>(first.rows())));
+  }
+
+  private CompletionStage<Page> addPages(
+      String table, String partition, Page last, List<Row> found) {
+    if (!last.more()) {
+      return CompletableFuture.completedFuture(new Page(found, last.version(), false));
+    }
+    String fromKey = found.get(found.size() - 1).key() + '\0';
+    return scan(table, partition, fromKey, SCAN_ROWS)
+        .thenCompose(
+            next -> {
+              found.addAll(next.rows());
+              long version = Math.min(last.version(), next.version());
+              return addPages(table, partition, new Page(next.rows(), version, next.more()), found);
+            });
+  }
+
   /**
    * Lists the partitions of a table that have rows.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchJanitor.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchJanitor.java
@@ -28,9 +28,6 @@
   /** Rows of one write: under the store's 100 entries a call. */
   private static final int ROWS_PER_WRITE = 90;
 
-  /** Rows of one read. */
-  private static final int PAGE_ROWS = 500;
-
   private static final int RETENTION_FACTOR = 2;
   private static final System.Logger LOG = System.getLogger(BatchJanitor.class.getName());
 
@@ -122,10 +119,11 @@
 
   /** Removes the rows of a table from the last key to the first, so that the head goes last. */
   private CompletionStage<Void> removeAll(String table, String batchId) {
-    return keys(table, batchId, "", new ArrayList<>())
+    return store
+        .scanAll(table, batchId)
         .thenCompose(
-            keys -> {
-              List<String> ordered = new ArrayList<>(keys);
+            page -> {
+              List<String> ordered = new ArrayList<>(page.rows().stream().map(Row::key).toList());
               if (ordered.remove(BatchJournal.HEAD)) {
                 ordered.add(BatchJournal.HEAD);
               }
@@ -142,18 +140,4 @@
               return done;
             });
   }
-
-  private CompletionStage<List<String>> keys(
-      String table, String batchId, String fromKey, List<String> found) {
-    return store
-        .scan(table, batchId, fromKey, PAGE_ROWS)
-        .thenCompose(
-            page -> {
-              page.rows().forEach(row -> found.add(row.key()));
-              if (!page.more()) {
-                return CompletableFuture.completedFuture(found);
-              }
-              return keys(table, batchId, found.get(found.size() - 1) + '\0', found);
-            });
-  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchReader.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchReader.java
@@ -38,8 +38,6 @@
   /** Rows of one read: at 8 KB a text, within the store's 1 MB of a page. */
   private static final int RESULT_ROWS = 100;
 
-  private static final int SCAN_ROWS = 500;
-
   private static final int MAX_KNOWN_HEADS = 2_000;
 
   /**
@@ -214,9 +212,11 @@
     if (here.isPresent()) {
       return CompletableFuture.completedFuture(body(here.get(), itemId));
     }
-    return scanAll(BatchJournal.BATCH, batchId, "", new ArrayList<>())
+    return store
+        .scanAll(BatchJournal.BATCH, batchId)
         .thenApply(
-            rows -> {
+            page -> {
+              List<Row> rows = page.rows();
               boolean exists = rows.stream().anyMatch(row -> row.key().equals(BatchJournal.HEAD));
               return exists
                   ? body(BatchJournal.readSubmission(batchId, rows), itemId)
@@ -238,20 +238,4 @@
       readers.forEach(Runnable::run);
     }
   }
-
-  /** Reads all rows of a partition from a key on, and adds them to those that were found. */
-  CompletionStage<List<Row>> scanAll(
-      String table, String partition, String fromKey, List<Row> found) {
-    return store
-        .scan(table, partition, fromKey, SCAN_ROWS)
-        .thenCompose(
-            page -> {
-              found.addAll(page.rows());
-              if (!page.more()) {
-                return CompletableFuture.completedFuture(found);
-              }
-              String last = page.rows().get(page.rows().size() - 1).key();
-              return scanAll(table, partition, last + '\0', found);
-            });
-  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -71,7 +71,6 @@
   private final Map<ItemProgress, ItemRun> runs = new HashMap<>();
   private final Map<String, Set<String>> groupEndpoints = new HashMap<>();
   private final Map<ItemProgress, Integer> keptEvents = new HashMap<>();
-  private List<ItemResult> committing = List.of();
   private long nextKeepMs;
   private boolean keeping;
   private boolean mayDispatch = true;
@@ -235,19 +234,20 @@
   }
 
   private void commit() {
-    if (closed || !committing.isEmpty()) {
+    if (closed) {
       return;
     }
-    committing =
+    List<ItemResult> begun =
         batch.beginCommit(
             MAX_RESULTS_PER_COMMIT, MAX_COMMIT_BYTES, result -> result.text().length());
-    if (!committing.isEmpty()) {
+    if (!begun.isEmpty()) {
       write();
     }
   }
 
   private void write() {
     int first = batch.listed();
+    List<ItemResult> committing = batch.committing();
     PartitionWrite.Builder write =
         PartitionWrite.in(batch.submission().id())
             .expect(ControlTables.CONTROL, ControlTables.OWNER, owner.version())
@@ -289,9 +289,8 @@
         LogEvent.of("results-listed")
             .with("batch", batch.submission().id())
             .with("position", batch.listed())
-            .with("count", committing.size()));
+            .with("count", batch.committing().size()));
     batch.onCommitted();
-    committing = List.of();
     listener.onListed(batch.submission().id());
     if (batch.isComplete()) {
       close("complete");
@@ -305,7 +304,7 @@
     Row mine = conflict.find(BatchJournal.RESULT, BatchJournal.firstRowKey(first));
     Row ownerRow = conflict.find(ControlTables.CONTROL, ControlTables.OWNER);
     boolean stillOwner = ownerRow != null && ownerRow.version() == owner.version();
-    boolean last = first + committing.size() == batch.items().size();
+    boolean last = first + batch.committing().size() == batch.items().size();
     if (mine != null && (stillOwner || (last && ownerRow == null))) {
       onCommitted();
     } else {
@@ -373,8 +372,4 @@
     scheduler.remove(this);
     listener.onClosed(this);
   }
-
-  boolean isClosed() {
-    return closed;
-  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -137,15 +137,11 @@
     List<MovePolicy.FreeSlots> free = new ArrayList<>();
     for (Endpoint endpoint : candidates(runner, runs.get(0).item().item())) {
       if (!ledger.isPaused(endpoint.id(), nowMs)) {
-        double slowness =
-            Math.max(
-                ledger.slowness(endpoint.id(), nowMs),
-                ledger.momentarySlowness(endpoint.id(), nowMs));
+        double slowness = ledger.worstSlowness(endpoint.id(), nowMs);
         free.add(new MovePolicy.FreeSlots(ledger.free(endpoint, nowMs), slowness));
       }
     }
-    int waiting =
-        runners.stream().mapToInt(each -> order.waiting(each.batch(), nowMs).size()).sum();
+    int waiting = runners.stream().mapToInt(each -> each.batch().waitingCount(nowMs)).sum();
     for (int id : movePolicy.moves(candidates, free, waiting)) {
       runs.get(id).move();
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -1,7 +1,6 @@
 package org.sycamoretrack.daemon.request.batch;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -257,14 +256,17 @@
   /** Reads a batch that this node owns by the store's word, and goes on with it. */
   private CompletionStage<Void> load(Owner owner) {
     String batchId = owner.batchId();
-    return reader
-        .scanAll(BatchJournal.BATCH, batchId, "", new ArrayList<>())
+    return store
+        .scanAll(BatchJournal.BATCH, batchId)
         .thenCombine(
-            reader.scanAll(BatchJournal.RESULT, batchId, "", new ArrayList<>()),
-            (rows, resultRows) -> {
+            store.scanAll(BatchJournal.RESULT, batchId),
+            (batchPage, resultPage) -> {
+              List<Row> rows = batchPage.rows();
               BatchSubmission submission = BatchJournal.readSubmission(batchId, rows);
               List<String> listed =
-                  BatchJournal.readResults(resultRows).stream().map(ItemResult::itemId).toList();
+                  BatchJournal.readResults(resultPage.rows()).stream()
+                      .map(ItemResult::itemId)
+                      .toList();
               OpenBatch open = new OpenBatch(submission, listed);
               BatchJournal.readTexts(rows)
                   .forEach((index, text) -> open.items().get(index).restore(text));
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -34,7 +34,6 @@
   /** A pause between two answers that is longer than a question's wait plus its time-out. */
   private static final long OUTAGE_MS = 1_500;
 
-  private static final int PAGE_ROWS = 500;
   private static final System.Logger LOG = System.getLogger(TableWatch.class.getName());
 
   /** Receives the rows of the table. */
@@ -134,14 +133,10 @@
     String partition = reading.remaining.poll();
     if (partition == null) {
       finish(reading);
-    } else {
-      readPage(reading, partition, "");
+      return;
     }
-  }
-
-  private void readPage(Reading reading, String partition, String fromKey) {
     store
-        .scan(table, partition, fromKey, PAGE_ROWS)
+        .scanAll(table, partition)
         .whenComplete(
             Failures.logged(
                 (page, failure) -> {
@@ -151,12 +146,7 @@
                   }
                   reading.rows.addAll(page.rows());
                   reading.version = Math.min(reading.version, page.version());
-                  if (page.more()) {
-                    String last = page.rows().get(page.rows().size() - 1).key();
-                    readPage(reading, partition, last + '\0');
-                  } else {
-                    readNext(reading);
-                  }
+                  readNext(reading);
                 }));
   }
 
