Free the key of a call that fails before it begins

Cause: a node that had just started took key ranges 1 s before it knew its configuration. A keyed call there failed with "no such service" by an exception thrown inside the stage that claims, so the claim was neither released nor settled: the key counted as running for ever. The caller's next tries waited behind it for 5 s (the longest wait of a repeated call) and were then told claim-unsettled. Log of the failing run: configuration applied at 01.996, keys claimed from 01.0 on, claim-unsettled at 06.8 for four keys, with no range changing hands. Change: a call that throws is released like one that fails; running under a claim is a class of its own. A node takes key ranges only when it knows its configuration. The launcher no longer closes the output of a process that it stops, which hid what stopping nodes logged. Ruled out: hand-over of ranges (none in the seconds before), loss of batches, the table. Runs: ClaimServiceTest#callThatFailsBeforeItBeginsFreesItsKey failed before (claim-unsettled), passes after.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
@@ -147,7 +147,7 @@
     return ClaimService.builder()
         .node(settings.nodeId(), incarnation)
         .table(table)
-        .leaseHeld(lease::holds)
+        .leaseHeld(() -> lease.holds() && configuration.isLoaded())
         .aliveNodeIds(() -> membership.view().aliveIds())
         .control(control::execute)
         .clocks(ControlState::nowMs, System::currentTimeMillis)
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ClaimedCalls.java
@@ -0,0 +1,113 @@
+package org.sycamoretrack.daemon.request;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.core.request.RecordedAnswer;
+import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.transport.request.HttpAnswer;
+
+/**
+ * Runs calls with an idempotency key on the node that owns the key.
+ *
+ * <p>A call is claimed in the table service, run, and its outcome recorded. Every claim that was
+ * let run is settled, released or left unsettled, also when the call fails before it begins: a
+ * claim without an end would keep its range from being handed over, and its key taken.
+ *
+ * <p>Thread-safe.
+ */
+final class ClaimedCalls {
+  private static final System.Logger LOG = System.getLogger(ClaimedCalls.class.getName());
+
+  private final ClaimService claims;
+
+  ClaimedCalls(ClaimService claims) {
+    this.claims = claims;
+  }
+
+  /**
+   * Claims a call and runs it, or finds out how it ended before.
+   *
+   * @param operation the call
+   * @return the answer; fails with a {@link SycamoreException} that says whether the call ran
+   */
+  CompletableFuture<HttpAnswer> run(KeyedOperation operation) {
+    return claims
+        .claim(operation.key(), operation.fingerprint())
+        .thenCompose(decision -> onDecision(operation, decision))
+        .toCompletableFuture();
+  }
+
+  private CompletableFuture<HttpAnswer> onDecision(
+      KeyedOperation operation, ClaimDecision decision) {
+    return switch (decision) {
+      case ClaimDecision.Run run -> runClaimed(operation);
+      case ClaimDecision.Answered answered -> repeat(answered.answer());
+      case ClaimDecision.Unsettled unsettled -> {
+        LOG.log(
+            System.Logger.Level.WARNING,
+            LogEvent.of("claim-unsettled").with("key", operation.key()));
+        yield failed(
+            ErrorCode.CLAIM_UNSETTLED,
+            Outcome.UNKNOWN,
+            "the call was claimed before and its outcome is not recorded");
+      }
+      case ClaimDecision.KeyReused reused ->
+          failed(ErrorCode.KEY_REUSED, Outcome.NOT_RUN, "the key was used before for another call");
+      case ClaimDecision.Refused refused ->
+          failed(refused.code(), Outcome.NOT_RUN, "the call could not be claimed");
+    };
+  }
+
+  private static CompletableFuture<HttpAnswer> failed(
+      ErrorCode code, Outcome outcome, String message) {
+    return CompletableFuture.failedFuture(new SycamoreException(code, outcome, message));
+  }
+
+  private static CompletableFuture<HttpAnswer> repeat(RecordedAnswer answer) {
+    if (!answer.isBodyKept()) {
+      return failed(
+          ErrorCode.CLAIM_UNSETTLED, Outcome.RAN, "the call ran; its answer was too long to keep");
+    }
+    return CompletableFuture.completedFuture(
+        new HttpAnswer(answer.status(), answer.headers(), answer.body()));
+  }
+
+  private CompletableFuture<HttpAnswer> runClaimed(KeyedOperation operation) {
+    return start(operation)
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure == null) {
+                claims.settle(operation.key(), record(answer));
+              } else if (ErrorAnswers.toError(failure).outcome() == Outcome.NOT_RUN) {
+                claims.release(operation.key());
+              } else {
+                LOG.log(
+                    System.Logger.Level.WARNING,
+                    LogEvent.of("call-outcome-unknown")
+                        .with("key", operation.key())
+                        .with("reason", ErrorAnswers.toError(failure).getMessage()));
+                claims.leaveUnsettled(operation.key());
+              }
+            });
+  }
+
+  private static CompletableFuture<HttpAnswer> start(KeyedOperation operation) {
+    try {
+      return operation.run().get();
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private static RecordedAnswer record(HttpAnswer answer) {
+    Map<String, String> kept =
+        answer.headers().entrySet().stream()
+            .filter(header -> header.getKey().startsWith("content-type"))
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    return RecordedAnswer.of(answer.status(), kept, answer.body());
+  }
+}
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/ClaimServiceTest.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.request;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.EventLoopGroup;
 import java.nio.charset.StandardCharsets;
@@ -15,7 +16,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.LeaseTimes;
+import org.sycamoretrack.core.process.SycamoreException;
+import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.RecordedAnswer;
 import org.sycamoretrack.daemon.farend.HttpTableStore;
 import org.sycamoretrack.daemon.farend.TableStore;
@@ -26,6 +30,7 @@
 import org.sycamoretrack.standins.process.PlatformStandin;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpClient;
+import org.sycamoretrack.transport.request.HttpAnswer;
 
 /** Claims of two nodes with their own control threads, over HTTP to the platform's stand-in. */
 class ClaimServiceTest {
@@ -166,4 +171,24 @@
           .isEqualTo(new ClaimDecision.Answered(answer("k" + i)));
     }
   }
+
+  /** A call that fails before it is sent leaves its key free for the next try. */
+  @Test
+  void callThatFailsBeforeItBeginsFreesItsKey() {
+    awaitOwners();
+    ClaimedCalls calls = new ClaimedCalls(ownerOf("k").claims);
+    KeyedOperation failing =
+        new KeyedOperation(
+            "k",
+            "f",
+            () -> {
+              throw new SycamoreException(ErrorCode.NOT_FOUND, Outcome.NOT_RUN, "no such service");
+            });
+    assertThatThrownBy(() -> calls.run(failing).orTimeout(20, TimeUnit.SECONDS).join())
+        .hasCauseInstanceOf(SycamoreException.class);
+    HttpAnswer answer = new HttpAnswer(200, Map.of(), new byte[0]);
+    KeyedOperation working =
+        new KeyedOperation("k", "f", () -> CompletableFuture.completedFuture(answer));
+    assertThat(calls.run(working).orTimeout(20, TimeUnit.SECONDS).join()).isEqualTo(answer);
+  }
 }
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/ManagedProcess.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/ManagedProcess.java
@@ -103,9 +103,12 @@
     return process.isAlive();
   }
 
-  /** Asks the process to stop, without waiting. */
+  /**
+   * Asks the process to stop, without waiting. Its output goes on being read: {@link
+   * Process#destroy} would close it, and what a process logs while it stops would be lost.
+   */
   public void requestStop() {
-    process.destroy();
+    process.toHandle().destroy();
   }
 
   /**
