Take answers without a length; skip late answers to earlier requests

Cause: an endpoint may end a whole answer by closing its connection, and may send a second answer to an earlier request. The first was refused as malformed and the request sent again (or, where it may not be repeated, lost); the second took the place of the awaited answer, which was lost with it. Change: a request says whether its answer may end with its connection (plain requests; not the streams of items, where a crash would look like an end) and which of its headers the answer repeats. An answer with another value there is skipped. Ruled out: taking the end of the connection for the end of any answer: the store and item streams always have an end marker.

--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -22,8 +22,9 @@
 /**
  * The client's side of one connection, which carries one call at a time.
  *
- * <p>An answer that has neither a length nor chunks would end where the connection closes, which
- * can't be told from a crash; it is refused as malformed.
+ * <p>An answer that has neither a length nor chunks ends where the connection closes, which can't
+ * be told from a crash; it is refused as malformed unless the request allows it. An answer to an
+ * earlier request is skipped when the request names a header that its answer repeats.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int NO_CONTENT = 204;
@@ -33,7 +34,7 @@
   private ChannelHandlerContext ctx;
   private ClientExchange exchange;
   private boolean keepAlive;
-  private boolean informational;
+  private boolean skipping;
 
   ClientConnection(Consumer<ClientConnection> onIdle) {
     this.onIdle = onIdle;
@@ -98,34 +99,45 @@
     if (message instanceof HttpResponse response && !onHead(response)) {
       return;
     }
-    if (message instanceof HttpContent content && !informational) {
+    if (message instanceof HttpContent content && !skipping) {
       onContent(content);
     }
   }
 
   /** Returns whether the body of the message, if it brings one, belongs to the answer. */
   private boolean onHead(HttpResponse response) {
-    int status = response.status().code();
-    informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    boolean bodiless =
-        status == NO_CONTENT
-            || status == NOT_MODIFIED
-            || informational
-            || exchange.request().method().equals("HEAD");
-    if (!bodiless
-        && !HttpUtil.isTransferEncodingChunked(response)
-        && !HttpUtil.isContentLengthSet(response)) {
-      fail(HttpFailure.Kind.MALFORMED, "the answer has no end marker");
+    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    skipping = informational || isOfAnotherRequest(response);
+    if (skipping) {
       return false;
     }
-    if (informational) {
+    boolean hasEnd = isBodiless(response) || hasEndMarker(response);
+    if (!hasEnd && !exchange.request().mayEndWithConnection()) {
+      fail(HttpFailure.Kind.MALFORMED, "the answer has no end marker");
       return false;
     }
-    keepAlive = HttpUtil.isKeepAlive(response);
-    exchange.listener().onHead(status, response.headers());
+    keepAlive = hasEnd && HttpUtil.isKeepAlive(response);
+    exchange.listener().onHead(response.status().code(), response.headers());
     return true;
   }
 
+  private boolean isOfAnotherRequest(HttpResponse response) {
+    String name = exchange.request().echoedHeader();
+    String echoed = name == null ? null : response.headers().get(name);
+    return echoed != null && !echoed.equals(exchange.request().headers().get(name));
+  }
+
+  private boolean isBodiless(HttpResponse response) {
+    int status = response.status().code();
+    return status == NO_CONTENT
+        || status == NOT_MODIFIED
+        || exchange.request().method().equals("HEAD");
+  }
+
+  private static boolean hasEndMarker(HttpResponse response) {
+    return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+  }
+
   private void onContent(HttpContent content) {
     if (exchange != null && !exchange.isFinished() && content.content().isReadable()) {
       exchange.listener().onBody(content.content());
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
@@ -18,6 +18,8 @@
   private final int timeoutMs;
   private final int idleTimeoutMs;
   private final boolean freshConnection;
+  private final boolean mayEndWithConnection;
+  private final String echoedHeader;
 
   private HttpRequest(Builder builder) {
     this.address = Objects.requireNonNull(builder.address, "address");
@@ -28,6 +30,8 @@
     this.timeoutMs = builder.timeoutMs;
     this.idleTimeoutMs = builder.idleTimeoutMs;
     this.freshConnection = builder.freshConnection;
+    this.mayEndWithConnection = builder.mayEndWithConnection;
+    this.echoedHeader = builder.echoedHeader;
   }
 
   /**
@@ -85,6 +89,19 @@
     return freshConnection;
   }
 
+  /** Returns whether an answer without a length ends well when its connection is closed. */
+  public boolean mayEndWithConnection() {
+    return mayEndWithConnection;
+  }
+
+  /**
+   * Returns the header of the request that its answer repeats, null when there is none. An answer
+   * that has another value there belongs to an earlier request and is skipped.
+   */
+  public String echoedHeader() {
+    return echoedHeader;
+  }
+
   /** Builds a {@link HttpRequest}. */
   public static final class Builder {
     private final String method;
@@ -95,6 +112,8 @@
     private int timeoutMs = DEFAULT_TIMEOUT_MS;
     private int idleTimeoutMs;
     private boolean freshConnection;
+    private boolean mayEndWithConnection;
+    private String echoedHeader;
 
     private Builder(String method, InetSocketAddress address, String target) {
       this.method = method;
@@ -168,6 +187,29 @@
       return this;
     }
 
+    /**
+     * Accepts an answer without a length, which ends where its connection is closed in order. One
+     * whose connection is reset has not ended.
+     *
+     * @return this builder
+     */
+    public Builder mayEndWithConnection() {
+      this.mayEndWithConnection = true;
+      return this;
+    }
+
+    /**
+     * Names a header of the request that its answer repeats, so that a late answer to an earlier
+     * request is told from its own.
+     *
+     * @param name the name, of a header that the request has
+     * @return this builder
+     */
+    public Builder echoedHeader(String name) {
+      this.echoedHeader = name;
+      return this;
+    }
+
     /** Returns the request. */
     public HttpRequest build() {
       return new HttpRequest(this);
