Let a live holder renew its lease after an outage; leave out unreadable texts

Cause: a candidate counted the time without the store as silence of the lease's holder, so after an outage whoever read first took the lease from a live holder and then waited out the turn: up to 3.3 s without orders. Rows of a text that was begun anew (routes with one version to a text) kept slices of the longer text before; reading them failed, and with it the takeover of the whole batch. A plan of weights that could not be read left no line. Change: after a failed read the lease must stay unchanged for one renewal and two tries more; an item whose text can't be read is generated from the beginning, with a line; so does the plan get one. Ruled out: counting the silence from zero again, which would double the time to take over from a holder that died during the outage. Tests, each failed first: LeaseTest (away), BatchJournalTest#leavesOutATextWithRowsOfAnEarlierOne.

--- a/core/src/main/java/org/sycamoretrack/core/process/Lease.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/Lease.java
@@ -33,6 +33,8 @@
  *
  * <p>A process that finds another's lease, be it an earlier one of the same id, takes over when the
  * row stayed unchanged for {@link LeaseTimes#takeOverAfterMs}, or at once when it was given back.
+ * After a failed read it also waits for {@link LeaseTimes#renewalGraceMs}, so that a live holder
+ * that the store had turned away too can renew first.
  *
  * <p>Example with a ttl of 10 s and a margin of 2 s: a renewal is sent at 5 s and its answer is
  * lost. At 6 s the row is read back with that renewal's sequence number: the lease holds until 13
@@ -175,7 +177,7 @@
     }
     held = false;
     if (watch == null) {
-      watch = new LeaseWatch(times.takeOverAfterMs());
+      watch = new LeaseWatch(times.takeOverAfterMs(), times.renewalGraceMs());
     }
     watch.onSeen(found.version(), readSentMs, nowMs);
     row = found;
@@ -205,6 +207,9 @@
    */
   public void onReadFailed(long nowMs) {
     underWay = false;
+    if (watch != null) {
+      watch.onUnreadable();
+    }
     nextAttemptMs = nowMs + times.retryMs();
   }
 
--- a/core/src/main/java/org/sycamoretrack/core/process/LeaseTimes.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/LeaseTimes.java
@@ -27,4 +27,12 @@
   public long takeOverAfterMs() {
     return ttlMs + pauseMarginMs;
   }
+
+  /**
+   * Returns within which time a live holder renews its lease once the store answers again: a
+   * renewal that hangs, and two tries.
+   */
+  public long renewalGraceMs() {
+    return renewIntervalMs + 2 * retryMs;
+  }
 }
--- a/core/src/main/java/org/sycamoretrack/core/process/LeaseWatch.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/LeaseWatch.java
@@ -11,22 +11,44 @@
  * therefore first writes the row, on condition of the version that was watched: once that write has
  * taken effect, no older renewal can.
  *
+ * <p>While the row can't be read, its owner can't renew it either. So after a failed read the row
+ * must stay unchanged for a grace period more, within which a live owner renews it.
+ *
  * <p>Example with a duration of 18 s: version 7 is seen at 0 s and 10 s, version 8 at 15 s and in a
  * read that was sent at 33 s and answered at 34 s. The lease has run out.
  */
 public final class LeaseWatch {
   private final long durationMs;
+  private final long graceMs;
   private long version = -1;
   private long sinceMs;
   private long lastSentMs;
+  private boolean unreadable;
 
   /**
-   * Creates a watch that has seen nothing.
+   * Creates a watch that has seen nothing, for a row that is read from the store that its owner
+   * writes to only while that store is known to answer.
    *
    * @param durationMs for how long the row must stay unchanged
    */
   public LeaseWatch(long durationMs) {
+    this(durationMs, 0);
+  }
+
+  /**
+   * Creates a watch that has seen nothing.
+   *
+   * @param durationMs for how long the row must stay unchanged
+   * @param graceMs for how long it must stay unchanged after a read failed
+   */
+  public LeaseWatch(long durationMs, long graceMs) {
     this.durationMs = durationMs;
+    this.graceMs = graceMs;
+  }
+
+  /** Notes that the row could not be read. */
+  public void onUnreadable() {
+    unreadable = true;
   }
 
   /**
@@ -40,7 +62,10 @@
     if (seenVersion != version) {
       version = seenVersion;
       sinceMs = answeredMs;
+    } else if (unreadable) {
+      sinceMs = Math.max(sinceMs, answeredMs - durationMs + graceMs);
     }
+    unreadable = false;
     lastSentMs = sentMs;
   }
 
--- a/core/src/test/java/org/sycamoretrack/core/process/LeaseTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/LeaseTest.java
@@ -104,6 +104,7 @@
           held by another | r:7:3:other:5@0 wait@4 | 4 | false | 0
           others, run out | r:7:3:other:5@0 at@120 r:7:3:other:5@121 at@130 w:8@131 | 131 | true | 4
           others new| r:7:3:other:5@0 at@119 r:8:3:other:6@121 at@200 r:8:3:other:6@201|201|false|0
+          away|r:7:3:o:5@0 at@9 unread@10 at@200 r:7:3:o:5@201 at@210 r:7:3:o:5@212|212|false|0
           others, given back | r:7:3:other:5:x@0 w:8@1 | 1 | true | 4
           """)
   void holds(String name, String script, long atMs, boolean holds, long epoch) {
@@ -156,6 +157,17 @@
     assertThat(watch.isExpired()).isEqualTo(expired);
   }
 
+  @Test
+  void watchGivesALiveOwnerTimeToRenewAfterTheStoreWasAway() {
+    LeaseWatch watch = new LeaseWatch(100, 30);
+    watch.onSeen(7, 0, 10);
+    watch.onUnreadable();
+    watch.onSeen(7, 500, 510);
+    assertThat(watch.isExpired()).isFalse();
+    watch.onSeen(7, 540, 541);
+    assertThat(watch.isExpired()).isTrue();
+  }
+
   @ParameterizedTest
   @CsvSource({"100, 20, 80, 5", "100, 20, 30, 0", "100, -1, 30, 5", "100, 20, 3, 5"})
   void timesThatCannotWorkAreRefused(long ttlMs, long marginMs, long renewMs, long retryMs) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchJournal.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchJournal.java
@@ -15,11 +15,11 @@
 import java.util.UUID;
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
-import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.ItemText;
 import org.sycamoretrack.daemon.farend.PartitionWrite;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.transport.process.Json;
 
 /**
@@ -60,6 +60,8 @@
   private static final String ITEMS = "items.";
   private static final String TEXT = "text.";
 
+  private static final System.Logger LOG = System.getLogger(BatchJournal.class.getName());
+
   private BatchJournal() {}
 
   /**
@@ -253,22 +255,22 @@
   /**
    * Returns the rows that keep the text of an item that isn't finished.
    *
-   * @param item the item
+   * @param index the place of the item in its batch
+   * @param text its text so far
    */
-  static List<Slice> text(ItemProgress item) {
-    ObjectNode json =
-        Json.object().put("last", item.text().lastEvent()).put("data", item.text().data());
-    item.text().versions().forEach(json.withArray("versions")::add);
-    String key = String.format(Locale.ROOT, "%s%05d", TEXT, item.item().index());
+  static List<Slice> text(int index, ItemText text) {
+    ObjectNode json = Json.object().put("last", text.lastEvent()).put("data", text.data());
+    text.versions().forEach(json.withArray("versions")::add);
+    String key = String.format(Locale.ROOT, "%s%05d", TEXT, index);
     return slices(key, Json.bytes(json));
   }
 
   /**
-   * Reads the texts that an earlier owner kept.
+   * Reads the texts that an earlier owner kept. A text that can't be read is left out: its item is
+   * generated from the beginning.
    *
    * @param rows all rows of the batch in the table {@link #BATCH}
    * @return the texts by the place of their items
-   * @throws IllegalArgumentException when the rows can't be read
    */
   static Map<Integer, ItemText> readTexts(List<Row> rows) {
     Map<Integer, List<Row>> byItem = new TreeMap<>();
@@ -281,14 +283,24 @@
     Map<Integer, ItemText> texts = new TreeMap<>();
     byItem.forEach(
         (index, slices) -> {
-          JsonNode json = Json.parse(join(slices));
-          texts.put(
-              index,
-              new ItemText(json.path("data").asText(), json.path("last").asInt(), versions(json)));
+          try {
+            texts.put(index, readText(Json.parse(join(slices))));
+          } catch (IllegalArgumentException e) {
+            LOG.log(
+                System.Logger.Level.WARNING,
+                LogEvent.of("item-text-unreadable")
+                    .with("item", index)
+                    .with("rows", slices.size())
+                    .with("reason", e.getMessage()));
+          }
         });
     return texts;
   }
 
+  private static ItemText readText(JsonNode json) {
+    return new ItemText(json.path("data").asText(), json.path("last").asInt(), versions(json));
+  }
+
   private static List<Integer> versions(JsonNode json) {
     List<Integer> versions = new ArrayList<>();
     json.path("versions").forEach(version -> versions.add(version.asInt()));
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -207,7 +207,7 @@
             .toList();
     List<BatchJournal.Slice> slices = new ArrayList<>();
     for (ItemProgress item : grown) {
-      List<BatchJournal.Slice> text = BatchJournal.text(item);
+      List<BatchJournal.Slice> text = BatchJournal.text(item.item().index(), item.text());
       if (slices.size() + text.size() <= BatchJournal.ROWS_PER_WRITE) {
         slices.addAll(text);
         keptEvents.put(item, item.text().lastEvent());
@@ -321,7 +321,7 @@
     List<BatchJournal.Slice> slices = new ArrayList<>();
     for (ItemProgress item : batch.items()) {
       if (!item.isFinished() && item.text().lastEvent() > 0) {
-        slices.addAll(BatchJournal.text(item));
+        slices.addAll(BatchJournal.text(item.item().index(), item.text()));
       }
     }
     close("handed over");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -187,6 +187,11 @@
                 (page, failure) -> {
                   writing = false;
                   if (failure != null) {
+                    LOG.log(
+                        System.Logger.Level.WARNING,
+                        LogEvent.of("weight-plan-not-read")
+                            .with("epoch", lease.epoch())
+                            .with("reason", Failures.unwrap(failure).getMessage()));
                     return;
                   }
                   written = WeightPlan.EMPTY;
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/batch/BatchJournalTest.java
@@ -0,0 +1,47 @@
+package org.sycamoretrack.daemon.request.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sycamoretrack.core.request.batch.ItemText;
+import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
+
+/** What a new owner reads of the rows that the owner before wrote. */
+class BatchJournalTest {
+  private static final int LONG_TEXT = 200_000;
+
+  private static List<Row> rows(int index, String data) {
+    ItemText text = new ItemText(data, 1, List.of(3));
+    List<Row> rows = new ArrayList<>();
+    for (BatchJournal.Slice slice : BatchJournal.text(index, text)) {
+      rows.add(new Row(BatchJournal.BATCH, "batch", slice.key(), slice.bytes(), 1));
+    }
+    return rows;
+  }
+
+  @Test
+  void readsTheTextsThatWereKept() {
+    List<Row> rows = rows(0, "x".repeat(LONG_TEXT));
+    rows.addAll(rows(1, "short"));
+
+    Map<Integer, ItemText> texts = BatchJournal.readTexts(rows);
+
+    assertThat(texts.get(0).data()).hasSize(LONG_TEXT);
+    assertThat(texts.get(1).data()).isEqualTo("short");
+    assertThat(texts.get(1).versions()).containsExactly(3);
+  }
+
+  /** A text that was begun anew and is shorter leaves rows of the longer one behind. */
+  @Test
+  void leavesOutATextWithRowsOfAnEarlierOne() {
+    List<Row> longer = rows(0, "x".repeat(LONG_TEXT));
+    List<Row> rows = rows(0, "anew");
+    rows.addAll(longer.subList(1, longer.size()));
+    rows.addAll(rows(1, "other"));
+
+    assertThat(BatchJournal.readTexts(rows)).containsOnlyKeys(1);
+  }
+}
