Let a larger fleet load more weights at once

Cause: two endpoints loaded at once whatever the fleet. Change: the limit is 0.3 of the endpoints, two at least; the sheets give 2 of 6 and of 8, 9 of 31 and 10 of 34. It is a value of its own in core. The sites of 6 and 8 endpoints load two at once as before. Test: LoadPlannerTest#aLargerFleetLoadsMoreAtOnce.

--- a/core/src/main/java/org/sycamoretrack/core/version/weights/LoadPlanner.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/weights/LoadPlanner.java
@@ -54,15 +54,15 @@
   /** Half of a batch's items have begun and ended by then; versions come each 4 s. */
   private static final long BURST_MS = 1_200;
 
-  private final int maxConcurrentLoads;
+  private final LoadLimit limit;
 
   /**
    * Creates a planner.
    *
-   * @param maxConcurrentLoads how many endpoints may load at once, over 0
+   * @param limit how many endpoints may load at once
    */
-  public LoadPlanner(int maxConcurrentLoads) {
-    this.maxConcurrentLoads = maxConcurrentLoads;
+  public LoadPlanner(LoadLimit limit) {
+    this.limit = limit;
   }
 
   /**
@@ -94,10 +94,11 @@
                     .thenComparingInt(target -> loading.getOrDefault(target.model(), 0))
                     .thenComparing(Target::endpointId))
             .toList();
+    int atOnce = limit.of((int) targets.stream().map(Target::endpointId).distinct().count());
     List<Load> loads = new ArrayList<>();
     for (Target target : behind) {
       int most = Math.max(1, shareSizes.get(target.model()) / 2);
-      if (total < maxConcurrentLoads
+      if (total < atOnce
           && !busy.containsKey(target.endpointId())
           && loading.getOrDefault(target.model(), 0) < most) {
         int version = named.get(target.model()).version();
--- a/core/src/test/java/org/sycamoretrack/core/version/weights/LoadPlannerTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/version/weights/LoadPlannerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -46,7 +47,7 @@
   })
   void loadsHalfOfAShareAtOnce(String endpoints, String expected) {
     Map<String, Named> named = Map.of("m", new Named(3, 5_000), "n", new Named(2, 5_000));
-    List<Load> loads = new LoadPlanner(2).next(targets(endpoints), named);
+    List<Load> loads = new LoadPlanner(LoadLimit.fixed(2)).next(targets(endpoints), named);
 
     assertThat(loads.stream().map(Load::endpointId).sorted().toList())
         .isEqualTo(Arrays.stream(expected.split(" ", -1)).filter(each -> !each.isEmpty()).toList());
@@ -66,7 +67,8 @@
   void waitsForTheBurstOfABatchWhereTheVersionBeforeServesIt(
       String endpoints, long ageMs, String expected) {
     List<Load> loads =
-        new LoadPlanner(2).next(targets(endpoints), Map.of("m", new Named(3, ageMs)));
+        new LoadPlanner(LoadLimit.fixed(2))
+            .next(targets(endpoints), Map.of("m", new Named(3, ageMs)));
 
     assertThat(String.join(" ", loads.stream().map(Load::endpointId).sorted().toList()))
         .isEqualTo(expected);
@@ -76,8 +78,23 @@
   void theVersionThatWasNamedFirstGoesFirst() {
     Map<String, Named> named = Map.of("m", new Named(3, 1_500), "n", new Named(2, 3_000));
 
-    assertThat(new LoadPlanner(2).next(targets("m2 m2 m2 m2 n1 n1 n1 n1"), named))
+    assertThat(new LoadPlanner(LoadLimit.fixed(2)).next(targets("m2 m2 m2 m2 n1 n1 n1 n1"), named))
         .extracting(Load::endpointId)
         .containsExactly("e", "f");
   }
+
+  @ParameterizedTest(name = "{0} endpoints: {1}")
+  @CsvSource({"1, 2", "6, 2", "8, 2", "10, 3", "31, 9", "34, 10"})
+  void aLargerFleetLoadsMoreAtOnce(int endpoints, int loads) {
+    List<Target> targets = new ArrayList<>();
+    for (int i = 0; i < endpoints; i++) {
+      String model = "m" + i % 4;
+      targets.add(new Target("e" + i, model, 1, false));
+    }
+    Map<String, Named> named = new HashMap<>();
+    targets.forEach(target -> named.put(target.model(), new Named(3, 5_000)));
+
+    assertThat(new LoadPlanner(new LoadLimit(2, 0.3)).next(targets, named))
+        .hasSize(Math.min(loads, endpoints));
+  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -121,7 +121,7 @@
             watch::view,
             controlLoop,
             self,
-            settings.maxConcurrentLoads());
+            settings.loadLimit());
     this.janitor =
         new BatchJanitor(
             controlStore,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.sycamoretrack.core.version.weights.LoadLimit;
 
 /** What a {@link RolloutNode} knows of itself and of what its platform grants. Immutable. */
 public final class RolloutSettings {
@@ -11,7 +12,7 @@
   private final InetSocketAddress readyAddress;
   private final String peerAddress;
   private final int maxBodyBytes;
-  private final int maxConcurrentLoads;
+  private final LoadLimit loadLimit;
   private final long graceMs;
   private final long cancelMs;
   private final long resultsPromisedMs;
@@ -23,7 +24,7 @@
     this.readyAddress = Objects.requireNonNull(builder.readyAddress, "readyAddress");
     this.peerAddress = Objects.requireNonNull(builder.peerAddress, "peerAddress");
     this.maxBodyBytes = builder.maxBodyBytes;
-    this.maxConcurrentLoads = builder.maxConcurrentLoads;
+    this.loadLimit = Objects.requireNonNull(builder.loadLimit, "loadLimit");
     this.graceMs = builder.graceMs;
     this.cancelMs = builder.cancelMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
@@ -65,8 +66,8 @@
   }
 
   /** Returns how many endpoints may load weights at once. */
-  public int maxConcurrentLoads() {
-    return maxConcurrentLoads;
+  public LoadLimit loadLimit() {
+    return loadLimit;
   }
 
   /** Returns the time between the request to stop and the end of the process, in milliseconds. */
@@ -93,7 +94,7 @@
         && readyAddress.equals(that.readyAddress)
         && peerAddress.equals(that.peerAddress)
         && maxBodyBytes == that.maxBodyBytes
-        && maxConcurrentLoads == that.maxConcurrentLoads
+        && loadLimit.equals(that.loadLimit)
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
         && resultsPromisedMs == that.resultsPromisedMs;
@@ -112,7 +113,7 @@
     private InetSocketAddress readyAddress;
     private String peerAddress;
     private int maxBodyBytes;
-    private int maxConcurrentLoads;
+    private LoadLimit loadLimit;
     private long graceMs;
     private long cancelMs;
     private long resultsPromisedMs;
@@ -156,8 +157,8 @@
     }
 
     /** Sets how many endpoints may load weights at once. */
-    public Builder maxConcurrentLoads(int value) {
-      this.maxConcurrentLoads = value;
+    public Builder loadLimit(LoadLimit value) {
+      this.loadLimit = value;
       return this;
     }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -17,6 +17,7 @@
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.core.version.routing.RouteKind;
 import org.sycamoretrack.core.version.routing.ServiceSpec;
+import org.sycamoretrack.core.version.weights.LoadLimit;
 import org.sycamoretrack.core.version.weights.LoadPlanner;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Named;
@@ -84,7 +85,7 @@
    * @param views what is known of the deployment
    * @param loop the control loop
    * @param self this node
-   * @param maxConcurrentLoads how many endpoints may load at once
+   * @param limit how many endpoints may load at once
    */
   public OrderHolder(
       PartitionedStore store,
@@ -92,7 +93,7 @@
       Supplier<DeploymentView> views,
       EventLoop loop,
       NodeRecord self,
-      int maxConcurrentLoads) {
+      LoadLimit limit) {
     this.store = store;
     this.endpoints = endpoints;
     this.views = views;
@@ -100,7 +101,7 @@
     this.nodeId = self.nodeId();
     String holder = self.nodeId() + '@' + self.peerAddress();
     this.lease = new OrderLease(store, loop, holder, self.incarnation());
-    this.planner = new LoadPlanner(maxConcurrentLoads);
+    this.planner = new LoadPlanner(limit);
   }
 
   /** Starts. */
