Serve metrics and a state dump on each node of the platform

Cause: on the platform a node had logs only; nothing counted requests, runs, calls of the store or changes of owners, and what a node believed could not be asked. Why a runner closed is an enum in the log and the metrics. Ruled out: metrics on the peer port, which is not HTTP; labels by route or endpoint, which have no bound.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/JsonLog.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/JsonLog.java
@@ -59,6 +59,16 @@
     WRITER.drain(timeoutMs);
   }
 
+  /** Returns the number of lines logged since the start. */
+  static long acceptedLines() {
+    return WRITER.acceptedCount();
+  }
+
+  /** Returns the number of lines lost since the start because nobody read them. */
+  static long droppedLines() {
+    return WRITER.droppedCount();
+  }
+
   @Override
   public System.Logger getLogger(String name, Module module) {
     return new JsonLogger(name);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/LogWriter.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/LogWriter.java
@@ -23,6 +23,7 @@
   private final OutputStream out;
   private final BlockingQueue<String> lines;
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong droppedInAll = new AtomicLong();
   private final AtomicLong accepted = new AtomicLong();
   private final AtomicLong written = new AtomicLong();
 
@@ -50,9 +51,20 @@
       accepted.incrementAndGet();
     } else {
       dropped.incrementAndGet();
+      droppedInAll.incrementAndGet();
     }
   }
 
+  /** Returns the number of lines taken since the start. */
+  long acceptedCount() {
+    return accepted.get();
+  }
+
+  /** Returns the number of lines dropped since the start. */
+  long droppedCount() {
+    return droppedInAll.get();
+  }
+
   /**
    * Waits until what was accepted so far is written.
    *
--- /dev/null
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/InspectionApi.java
@@ -0,0 +1,68 @@
+package org.sycamoretrack.daemon.process.rollout;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpAnswer;
+import org.sycamoretrack.transport.request.HttpExchange;
+import org.sycamoretrack.transport.request.HttpHandler;
+
+/**
+ * Shows a node to operators: {@code GET /metrics} in Prometheus text format, {@code GET /state}
+ * what the node believes, as JSON. Nothing can be changed here.
+ */
+final class InspectionApi implements HttpHandler {
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+  private static final int OK = 200;
+
+  private final Supplier<String> metrics;
+  private final Supplier<CompletionStage<JsonNode>> state;
+
+  /**
+   * Creates the handler.
+   *
+   * @param metrics returns the metrics
+   * @param state returns what the node believes
+   */
+  InspectionApi(Supplier<String> metrics, Supplier<CompletionStage<JsonNode>> state) {
+    this.metrics = metrics;
+    this.state = state;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    if (!exchange.method().equals("GET")) {
+      fail(exchange, ErrorCode.METHOD_NOT_ALLOWED, "only GET is offered here");
+      return;
+    }
+    switch (exchange.path()) {
+      case "/metrics" -> exchange.respond(HttpAnswer.text(OK, METRICS_TYPE, metrics.get()));
+      case "/state" ->
+          state
+              .get()
+              .whenComplete(
+                  Failures.logged(
+                      (json, failure) -> {
+                        if (failure == null) {
+                          exchange.respond(HttpAnswer.json(OK, json));
+                        } else {
+                          fail(exchange, ErrorCode.INTERNAL, failure.toString());
+                        }
+                      }));
+      default -> fail(exchange, ErrorCode.NOT_FOUND, "there is nothing at " + exchange.path());
+    }
+  }
+
+  private static void fail(HttpExchange exchange, ErrorCode code, String message) {
+    byte[] body =
+        Json.bytes(
+            Json.object()
+                .set("error", Json.object().put("code", code.wireName()).put("message", message)));
+    exchange.respond(
+        new HttpAnswer(code.httpStatus(), Map.of("Content-Type", "application/json"), body));
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeServices.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/NodeServices.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.sycamoretrack.core.version.routing.Manifest;
+import org.sycamoretrack.daemon.process.RolloutMetrics;
 import org.sycamoretrack.daemon.request.batch.BatchService;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 
@@ -19,6 +20,9 @@
   /** Returns what keeps batches. */
   BatchService batches();
 
+  /** Returns what counts the calls. */
+  RolloutMetrics metrics();
+
   /** Returns whether the node takes new connections. */
   boolean isReady();
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -1,5 +1,7 @@
 package org.sycamoretrack.daemon.process.rollout;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -7,19 +9,24 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
+import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Manifest;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.farend.Failures;
+import org.sycamoretrack.daemon.farend.MeasuredEndpoints;
+import org.sycamoretrack.daemon.farend.MeasuredStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.RolloutMetrics;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
 import org.sycamoretrack.daemon.request.batch.BatchJanitor;
 import org.sycamoretrack.daemon.request.batch.BatchService;
@@ -29,6 +36,8 @@
 import org.sycamoretrack.daemon.version.weights.OrderHolder;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpServer;
+import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.transport.request.HttpHandler;
 
 /**
  * A node whose state is kept in the platform's store: it forwards plain requests, keeps and runs
@@ -63,6 +72,7 @@
   private static final long CANCEL_MARGIN_MS = 600;
 
   private static final long POLL_STOP_MS = 50;
+  private static final double MS_PER_SECOND = 1_000.0;
   private static final System.Logger LOG = System.getLogger(RolloutNode.class.getName());
 
   private final RolloutSettings settings;
@@ -82,16 +92,19 @@
   private final BatchJanitor janitor;
   private final HttpServer callers;
   private final HttpServer readiness;
+  private final HttpServer inspection;
+  private final RolloutMetrics metrics = new RolloutMetrics();
   private volatile boolean stopping;
 
   private RolloutNode(RolloutSettings settings, PlatformAdapter adapter) {
     this.settings = settings;
-    PartitionedStore straight = adapter.store(controlGroup);
+    PartitionedStore straight = new MeasuredStore(adapter.store(controlGroup), metrics);
     this.link = startLink(settings);
     this.relay = new StoreRelay(link, straight, path, controlLoop);
     PartitionedStore controlStore = new RelayedStore(straight, relay, path, controlLoop);
     PartitionedStore trafficStore =
-        new RelayedStore(adapter.store(trafficGroup), relay, path, trafficLoop);
+        new RelayedStore(
+            new MeasuredStore(adapter.store(trafficGroup), metrics), relay, path, trafficLoop);
     this.watch =
         new DeploymentWatch(controlStore, adapter.codec(), controlLoop, this::onDeployment);
     NodeRecord self =
@@ -101,7 +114,8 @@
     this.components =
         BatchComponents.builder()
             .store(trafficStore)
-            .endpoints(adapter.endpoints(trafficGroup))
+            .endpoints(new MeasuredEndpoints(adapter.endpoints(trafficGroup), metrics))
+            .metrics(metrics)
             .views(watch::view)
             .loop(trafficLoop)
             .nodeId(settings.nodeId())
@@ -117,7 +131,7 @@
     this.orders =
         new OrderHolder(
             controlStore,
-            adapter.endpoints(controlGroup),
+            new MeasuredEndpoints(adapter.endpoints(controlGroup), metrics),
             watch::view,
             controlLoop,
             self,
@@ -128,12 +142,7 @@
             settings.resultsPromisedMs(),
             batchId -> watch.view().owners().containsKey(batchId),
             System::currentTimeMillis);
-    this.readiness =
-        HttpServer.builder()
-            .group(trafficGroup)
-            .address(settings.readyAddress())
-            .handler(adapter.readiness(this))
-            .start();
+    this.readiness = serve(trafficGroup, settings.readyAddress(), adapter.readiness(this));
     this.callers =
         HttpServer.builder()
             .group(trafficGroup)
@@ -141,6 +150,9 @@
             .maxBodyBytes(settings.maxBodyBytes())
             .handler(adapter.callers(this))
             .start();
+    InspectionApi inspectionApi = new InspectionApi(metrics::scrape, this::state);
+    this.inspection = serve(controlGroup, settings.metricsAddress(), inspectionApi);
+    addGauges();
   }
 
   /**
@@ -165,6 +177,11 @@
     return node;
   }
 
+  private static HttpServer serve(
+      EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
+    return HttpServer.builder().group(group).address(address).handler(handler).start();
+  }
+
   private PeerLink startLink(RolloutSettings node) {
     PeerIdentity identity = new PeerIdentity(node.nodeId(), node.zone(), "", 0, node.peerAddress());
     return PeerLink.builder()
@@ -219,6 +236,55 @@
     return orders.epoch();
   }
 
+  /** Returns where operators connect, with the real port. */
+  public InetSocketAddress metricsAddress() {
+    return inspection.address();
+  }
+
+  private void addGauges() {
+    metrics.gauge(
+        "manifest_version",
+        "Version of the routes in force, 0 when none is known",
+        () -> watch.view().manifest().map(Manifest::version).orElse(0L));
+    metrics.gauge(
+        "manifest_age_seconds",
+        "Time since the routes were last known to be the newest",
+        () -> watch.manifestAgeMs() / MS_PER_SECOND);
+    metrics.gauge(
+        "endpoints_in_service",
+        "Endpoints that may get new work",
+        () -> watch.view().fleet().all().stream().filter(each -> !each.draining()).count());
+    metrics.gauge(
+        "endpoints_draining",
+        "Endpoints that get no new work",
+        () -> watch.view().fleet().all().stream().filter(Endpoint::draining).count());
+    metrics.gauge(
+        "deployment_batches", "Batches that some node runs", () -> watch.view().owners().size());
+    metrics.gauge(
+        "order_lease_epoch", "Epoch of the order lease, 0 when not held here", orders::epoch);
+    metrics.gauge(
+        "store_path_straight",
+        "1 when the node reaches the store itself, 0 when peers carry its calls",
+        () -> path.isStraight() ? 1 : 0);
+  }
+
+  /** Returns what this node believes. Called on the control loop. */
+  private CompletionStage<JsonNode> state() {
+    ObjectNode json =
+        Json.object()
+            .put("node", settings.nodeId())
+            .put("zone", settings.zone())
+            .put("incarnation", incarnation)
+            .put("ready", isReady())
+            .put("stopping", stopping)
+            .put("storePath", path.isStraight() ? "straight" : "over peers");
+    json.putObject("orderLease").put("held", orders.epoch() > 0).put("epoch", orders.epoch());
+    json.set("nodes", NodeBeliefs.nodes(registry.live()));
+    json.set("deployment", NodeBeliefs.deployment(watch));
+    return CompletableFuture.supplyAsync(() -> components.batches().dump(), trafficLoop)
+        .thenApply(batches -> json.set("batches", batches));
+  }
+
   /** Old batches are removed by the holder of the order lease, so that one node looks for them. */
   private void sweep() {
     if (orders.epoch() > 0 && !stopping) {
@@ -246,6 +312,11 @@
     return components.batches();
   }
 
+  @Override
+  public RolloutMetrics metrics() {
+    return metrics;
+  }
+
   @Override
   public boolean isReady() {
     return !stopping && watch.isComplete() && registry.isRegistered();
@@ -288,6 +359,7 @@
     watch.stop();
     callers.close();
     readiness.close();
+    inspection.close();
     link.close();
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopped"));
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutSettings.java
@@ -10,6 +10,7 @@
   private final String zone;
   private final InetSocketAddress callerAddress;
   private final InetSocketAddress readyAddress;
+  private final InetSocketAddress metricsAddress;
   private final String peerAddress;
   private final int maxBodyBytes;
   private final LoadLimit loadLimit;
@@ -22,6 +23,7 @@
     this.zone = Objects.requireNonNull(builder.zone, "zone");
     this.callerAddress = Objects.requireNonNull(builder.callerAddress, "callerAddress");
     this.readyAddress = Objects.requireNonNull(builder.readyAddress, "readyAddress");
+    this.metricsAddress = Objects.requireNonNull(builder.metricsAddress, "metricsAddress");
     this.peerAddress = Objects.requireNonNull(builder.peerAddress, "peerAddress");
     this.maxBodyBytes = builder.maxBodyBytes;
     this.loadLimit = Objects.requireNonNull(builder.loadLimit, "loadLimit");
@@ -55,6 +57,11 @@
     return readyAddress;
   }
 
+  /** Returns where operators read metrics and the state dump. */
+  public InetSocketAddress metricsAddress() {
+    return metricsAddress;
+  }
+
   /** Returns where peers connect, {@code ip:port}. */
   public String peerAddress() {
     return peerAddress;
@@ -92,6 +99,7 @@
         && zone.equals(that.zone)
         && callerAddress.equals(that.callerAddress)
         && readyAddress.equals(that.readyAddress)
+        && metricsAddress.equals(that.metricsAddress)
         && peerAddress.equals(that.peerAddress)
         && maxBodyBytes == that.maxBodyBytes
         && loadLimit.equals(that.loadLimit)
@@ -111,6 +119,7 @@
     private String zone;
     private InetSocketAddress callerAddress;
     private InetSocketAddress readyAddress;
+    private InetSocketAddress metricsAddress;
     private String peerAddress;
     private int maxBodyBytes;
     private LoadLimit loadLimit;
@@ -144,6 +153,12 @@
       return this;
     }
 
+    /** Sets where operators read metrics and the state dump; port 0 takes a free one. */
+    public Builder metricsAddress(InetSocketAddress value) {
+      this.metricsAddress = value;
+      return this;
+    }
+
     /** Sets where peers connect, {@code ip:port}. */
     public Builder peerAddress(String value) {
       this.peerAddress = value;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -7,6 +7,7 @@
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
+import org.sycamoretrack.daemon.process.RolloutMetrics;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
@@ -22,9 +23,15 @@
         new BatchScheduler(builder.endpoints, builder.views, ledger, placement, builder.loop);
     this.batches =
         new BatchService(
-            builder.store, scheduler, builder.loop, builder.nodeId, builder.incarnation);
+            builder.store,
+            scheduler,
+            builder.loop,
+            builder.nodeId,
+            builder.incarnation,
+            builder.metrics);
     this.forwarder =
-        new Forwarder(builder.endpoints, builder.views, ledger, placement, builder.loop);
+        new Forwarder(
+            builder.endpoints, builder.views, ledger, placement, builder.loop, builder.metrics);
   }
 
   /** Returns a builder. */
@@ -42,7 +49,7 @@
     return forwarder;
   }
 
-  /** Builds {@link BatchComponents}; all values are required. */
+  /** Builds {@link BatchComponents}; all values but the metrics are required. */
   public static final class Builder {
     private PartitionedStore store;
     private EndpointClient endpoints;
@@ -51,6 +58,7 @@
     private String nodeId;
     private String incarnation;
     private String zone;
+    private RolloutMetrics metrics = new RolloutMetrics();
 
     private Builder() {}
 
@@ -96,6 +104,12 @@
       return this;
     }
 
+    /** Sets what counts calls and batches. */
+    public Builder metrics(RolloutMetrics value) {
+      this.metrics = value;
+      return this;
+    }
+
     /** Returns the components. */
     public BatchComponents build() {
       Objects.requireNonNull(store, "store");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -22,6 +22,7 @@
 import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.RolloutMetrics.OwnerChange;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 
@@ -56,10 +57,10 @@
   /** What a runner tells the one that keeps it. */
   interface Listener {
     /** Called when results were listed. */
-    void onListed(String batchId);
+    void onListed(String batchId, int count);
 
     /** Called once, when this node runs the batch no more. */
-    void onClosed(BatchRunner runner);
+    void onClosed(BatchRunner runner, OwnerChange change);
   }
 
   private final OpenBatch batch;
@@ -290,10 +291,11 @@
             .with("batch", batch.submission().id())
             .with("position", batch.listed())
             .with("count", batch.committing().size()));
+    int count = batch.committing().size();
     batch.onCommitted();
-    listener.onListed(batch.submission().id());
+    listener.onListed(batch.submission().id(), count);
     if (batch.isComplete()) {
-      close("complete");
+      close(OwnerChange.COMPLETE, "all results are listed");
     } else {
       commit();
     }
@@ -308,7 +310,9 @@
     if (mine != null && (stillOwner || (last && ownerRow == null))) {
       onCommitted();
     } else {
-      close(ownerRow == null ? "ended or complete" : "taken over");
+      close(
+          ownerRow == null ? OwnerChange.ENDED : OwnerChange.LOST,
+          "a commit met another owner's row");
     }
   }
 
@@ -324,7 +328,7 @@
         slices.addAll(BatchJournal.text(item.item().index(), item.text()));
       }
     }
-    close("handed over");
+    close(OwnerChange.HANDED_OVER, "the node stops");
     CompletionStage<Void> kept = CompletableFuture.completedFuture(null);
     int step = BatchJournal.ROWS_PER_WRITE;
     for (int start = 0; start < slices.size(); start += step) {
@@ -355,7 +359,7 @@
   }
 
   /** Stops running the batch, without any change to what is listed. */
-  void close(String reason) {
+  void close(OwnerChange change, String reason) {
     if (closed) {
       return;
     }
@@ -366,10 +370,11 @@
             .with("batch", batch.submission().id())
             .with("listed", batch.listed())
             .with("items", batch.items().size())
+            .with("change", change)
             .with("reason", reason));
     List.copyOf(runs.values()).forEach(ItemRun::cancel);
     runs.clear();
     scheduler.remove(this);
-    listener.onClosed(this);
+    listener.onClosed(this, change);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -1,8 +1,10 @@
 package org.sycamoretrack.daemon.request.batch;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -15,14 +17,18 @@
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.OpenBatch;
+import org.sycamoretrack.core.version.routing.RouteKind;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionWrite;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Row;
 import org.sycamoretrack.daemon.farend.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.RolloutMetrics;
+import org.sycamoretrack.daemon.process.RolloutMetrics.OwnerChange;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
+import org.sycamoretrack.transport.process.Json;
 
 /**
  * Accepts batches, runs those that this node owns, and ends any; {@link #reader} reads any.
@@ -56,6 +62,7 @@
   private final EventLoop loop;
   private final String nodeId;
   private final String incarnation;
+  private final RolloutMetrics metrics;
   private final Map<String, BatchRunner> runners = new HashMap<>();
   private final Map<String, Boolean> takingOver = new HashMap<>();
   private final BatchReader reader;
@@ -69,18 +76,21 @@
    * @param loop the traffic loop
    * @param nodeId this node
    * @param incarnation this run of its process
+   * @param metrics counts what becomes of batches
    */
   BatchService(
       PartitionedStore store,
       BatchScheduler scheduler,
       EventLoop loop,
       String nodeId,
-      String incarnation) {
+      String incarnation,
+      RolloutMetrics metrics) {
     this.store = store;
     this.scheduler = scheduler;
     this.loop = loop;
     this.nodeId = nodeId;
     this.incarnation = incarnation;
+    this.metrics = metrics;
     this.reader = new BatchReader(store, loop, this::openSubmission);
   }
 
@@ -115,7 +125,8 @@
     private final BatchSubmission batch;
     private final List<PartitionWrite> writes;
     private final CompletableFuture<Acceptance> outcome;
-    private final long giveUpMs = MonotonicClock.nowMs() + ACCEPT_MS;
+    private final long startedMs = MonotonicClock.nowMs();
+    private final long giveUpMs = startedMs + ACCEPT_MS;
     private int next;
     private boolean maybeKept;
 
@@ -153,7 +164,8 @@
         writeNext();
         return;
       }
-      run(batch, List.of(), new Owner(batch.id(), nodeId, incarnation, version));
+      Owner owner = new Owner(batch.id(), nodeId, incarnation, version);
+      run(new OpenBatch(batch, List.of()), owner, OwnerChange.ACCEPTED);
       end(Acceptance.ACCEPTED);
     }
 
@@ -195,19 +207,20 @@
               .with("items", batch.items().size())
               .with("minVersion", batch.minVersion())
               .with("outcome", acceptance));
+      metrics.onRequest(
+          RouteKind.BATCH,
+          acceptance.name().toLowerCase(Locale.ROOT),
+          MonotonicClock.nowMs() - startedMs);
       outcome.complete(acceptance);
     }
   }
 
-  private void run(BatchSubmission batch, List<String> listedItemIds, Owner owner) {
-    run(new OpenBatch(batch, listedItemIds), owner);
-  }
-
-  private void run(OpenBatch open, Owner owner) {
+  private void run(OpenBatch open, Owner owner, OwnerChange change) {
     String batchId = owner.batchId();
     BatchRunner runner = new BatchRunner(open, owner, store, scheduler, loop, this);
     runners.put(batchId, runner);
     scheduler.add(runner);
+    metrics.onOwnerChange(change);
   }
 
   /**
@@ -277,7 +290,7 @@
                       .with("listed", listed.size())
                       .with("ownerVersion", owner.version()));
               if (!stopping && !runners.containsKey(batchId)) {
-                run(open, owner);
+                run(open, owner, OwnerChange.TAKEN_OVER);
               }
               return null;
             });
@@ -297,10 +310,10 @@
       Owner seen = owners.get(runner.owner().batchId());
       if (seen == null) {
         if (runner.wasSeen()) {
-          runner.close("ended or complete");
+          runner.close(OwnerChange.ENDED, "the batch has no owner any more");
         }
       } else if (seen.version() > runner.owner().version()) {
-        runner.close("taken over by " + seen.nodeId());
+        runner.close(OwnerChange.LOST, "taken over by " + seen.nodeId());
       } else if (seen.version() == runner.owner().version()) {
         runner.onSeen();
       }
@@ -312,14 +325,36 @@
   }
 
   @Override
-  public void onListed(String batchId) {
+  public void onListed(String batchId, int count) {
+    metrics.onResultsListed(count);
     reader.onListed(batchId);
   }
 
   @Override
-  public void onClosed(BatchRunner runner) {
+  public void onClosed(BatchRunner runner, OwnerChange change) {
     runners.remove(runner.owner().batchId(), runner);
-    onListed(runner.owner().batchId());
+    metrics.onOwnerChange(change);
+    reader.onListed(runner.owner().batchId());
+  }
+
+  /** Returns the batches that this node runs, for the state dump. Called on the traffic loop. */
+  public ArrayNode dump() {
+    ArrayNode json = Json.mapper().createArrayNode();
+    long nowMs = MonotonicClock.nowMs();
+    for (BatchRunner runner : runners.values()) {
+      OpenBatch batch = runner.batch();
+      json.addObject()
+          .put("id", batch.submission().id())
+          .put("ownerVersion", runner.owner().version())
+          .put("minVersion", batch.submission().minVersion())
+          .put("ageMs", System.currentTimeMillis() - batch.submission().acceptedAtMs())
+          .put("items", batch.items().size())
+          .put("listed", batch.listed())
+          .put("running", runner.runs().size())
+          .put("waiting", batch.waitingCount(nowMs))
+          .put("mayStartRuns", runner.mayDispatch());
+    }
+    return json;
   }
 
   /** Returns what reads batches of any node. */
@@ -357,7 +392,7 @@
     }
     BatchRunner runner = runners.get(batchId);
     if (runner != null) {
-      runner.close("ended by its submitter");
+      runner.close(OwnerChange.ENDED, "ended by its submitter");
     }
     return true;
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -214,6 +214,17 @@
               .with("outcome", outcome)
               .with("elapsedMs", MonotonicClock.nowMs() - startedMs));
     }
+    forwarder.metrics().onRequest(route.kind(), label(outcome), MonotonicClock.nowMs() - startedMs);
     onOutcome.accept(outcome);
   }
+
+  private static String label(ForwardOutcome outcome) {
+    return switch (outcome) {
+      case ForwardOutcome.Answered answered ->
+          answered.answer().status() < SERVER_ERROR ? "answered" : "answered_with_error";
+      case ForwardOutcome.NotRun notRun -> "not_run";
+      case ForwardOutcome.Lost lost -> "lost";
+      case ForwardOutcome.TimedOut timedOut -> "timed_out";
+    };
+  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -13,6 +13,7 @@
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.daemon.farend.EndpointClient;
 import org.sycamoretrack.daemon.farend.EndpointClient.PlainRequest;
+import org.sycamoretrack.daemon.process.RolloutMetrics;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
@@ -26,6 +27,7 @@
   private final SlotLedger ledger;
   private final SlotPlacement placement;
   private final EventLoop loop;
+  private final RolloutMetrics metrics;
 
   /**
    * Creates a forwarder.
@@ -35,18 +37,21 @@
    * @param ledger the slots in use
    * @param placement chooses endpoints
    * @param loop the traffic loop
+   * @param metrics counts requests
    */
   public Forwarder(
       EndpointClient endpoints,
       Supplier<DeploymentView> views,
       SlotLedger ledger,
       SlotPlacement placement,
-      EventLoop loop) {
+      EventLoop loop,
+      RolloutMetrics metrics) {
     this.endpoints = endpoints;
     this.views = views;
     this.ledger = ledger;
     this.placement = placement;
     this.loop = loop;
+    this.metrics = metrics;
   }
 
   /**
@@ -65,6 +70,10 @@
     return call;
   }
 
+  RolloutMetrics metrics() {
+    return metrics;
+  }
+
   EndpointClient endpoints() {
     return endpoints;
   }
