Give up shares of endpoints by demand; log the shares that models get

Tried: shares of the endpoints by the tokens that a batch of each model asks for, carried in the row of a batch's owner, in three forms: single moves with a threshold, the best sizes as a whole, and these with four endpoints at least. Small shares suffer from the loss of an endpoint. Kept: a line with the sizes whenever the shares change.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -271,6 +272,7 @@
                 (result, failure) -> {
                   writing = false;
                   if (failure == null && result instanceof WriteResult.Committed committed) {
+                    logShares(plan);
                     written = plan;
                     planVersion = committed.version();
                     startPlanned();
@@ -280,6 +282,16 @@
                 }));
   }
 
+  private void logShares(WeightPlan plan) {
+    if (!plan.shares().equals(written.shares())) {
+      Map<String, Integer> sizes = new TreeMap<>();
+      plan.shares().forEach((model, ids) -> sizes.put(model, ids.size()));
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("endpoint-shares").with("sizes", sizes).with("epoch", lease.epoch()));
+    }
+  }
+
   /** Starts the loads that the written plan tells other nodes of. */
   private void startPlanned() {
     for (Loading load : List.copyOf(loading.values())) {
