Pace the watches of the store by the number of nodes

Cause: each node asks for the changes of three tables every 0.4 s, 7.5 calls a second, whatever the number of nodes: over the store's 2,000 reads a second from some 260 nodes on. Change: the wait of a question grows from 160 nodes on, such that all questions together stay at 1,200 a second, up to 0.9 s at 360 nodes; the decision is in core. Smaller deployments are as before. Ruled out: one node that watches for others: its death would blind them for the time of a takeover. Tests: WatchPaceTest.

--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/process/WatchPaceTest.java
@@ -0,0 +1,36 @@
+package org.sycamoretrack.core.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of {@link WatchPace}. */
+class WatchPaceTest {
+  private static final double READS_PER_SECOND = 2_000;
+  private static final double MS_PER_SECOND = 1_000;
+
+  @ParameterizedTest(name = "{0} nodes, {1} tables: {2} ms")
+  @CsvSource({
+    "0, 3, 400",
+    "1, 3, 400",
+    "12, 3, 400",
+    "90, 3, 400",
+    "160, 3, 400",
+    "200, 3, 500",
+    "350, 3, 875",
+    "1000, 3, 900"
+  })
+  void growsWithTheNodes(int nodes, int tables, long waitMs) {
+    assertThat(WatchPace.waitMs(nodes, tables)).isEqualTo(waitMs);
+  }
+
+  /** At the size to design for, all questions leave reads for the rest. */
+  @ParameterizedTest
+  @CsvSource({"12", "90", "160", "260", "350"})
+  void staysWithinTheReadsOfTheStore(int nodes) {
+    double questions = nodes * 3 * MS_PER_SECOND / WatchPace.waitMs(nodes, 3);
+
+    assertThat(questions).isLessThan(0.7 * READS_PER_SECOND);
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -193,6 +193,7 @@
 
   /** Nodes of the own zone carry calls of the store first, since a cut zone keeps them together. */
   private void onNodes() {
+    watch.setNodeCount(registry.live().size());
     relay.setPeers(
         registry.live().stream()
             .filter(node -> !node.nodeId().equals(settings.nodeId()) && !node.leaving())
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.process.MonotonicClock;
+import org.sycamoretrack.core.process.WatchPace;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.fleet.Fleet;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -67,6 +68,17 @@
     this.control = new TableWatch(store, ControlTables.CONTROL, true, loop, new Control());
   }
 
+  /**
+   * Sets how many nodes watch, by which the questions to the store are paced. Called on the loop.
+   *
+   * @param nodes the nodes, this one included
+   */
+  public void setNodeCount(int nodes) {
+    List<TableWatch> watches = List.of(operators, endpoints, control);
+    long waitMs = WatchPace.waitMs(nodes, watches.size());
+    watches.forEach(watch -> watch.setWaitMs(waitMs));
+  }
+
   /** Starts to follow the tables. */
   public void start() {
     operators.start();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.process.MonotonicClock;
+import org.sycamoretrack.core.process.WatchPace;
 import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.PartitionedStore;
 import org.sycamoretrack.daemon.farend.PartitionedStore.Changes;
@@ -16,7 +17,7 @@
 /**
  * Follows a table of the store: reads it whole, then asks for what has changed since.
  *
- * <p>A question for changes waits for {@value #WAIT_MS} ms only, and the store's client gives it up
+ * <p>A question for changes waits for {@value #waitMs} ms only, and the store's client gives it up
  * soon after, so that a connection that has gone silent is noticed. When the store has dropped the
  * history, the table is read whole again. Failures are repeated after a pause; what was known stays
  * known meanwhile.
@@ -25,9 +26,6 @@
  * be read from any thread.
  */
 public final class TableWatch {
-  /** Two questions a second keep a stalled connection shorter than the bound of a drain, 2 s. */
-  private static final long WAIT_MS = 400;
-
   /** A refused question costs the store a call, so it is not repeated at once. */
   private static final long RETRY_MS = 150;
 
@@ -58,6 +56,7 @@
   private final boolean partitioned;
   private final EventLoop loop;
   private final Listener listener;
+  private long waitMs = WatchPace.waitMs(1, 1);
   private long version;
   private boolean reachable = true;
   private volatile long confirmedAtMs = Long.MIN_VALUE;
@@ -87,6 +86,11 @@
     this.listener = listener;
   }
 
+  /** Sets how long a question waits for a change, in milliseconds. Called on the loop. */
+  void setWaitMs(long newWaitMs) {
+    waitMs = newWaitMs;
+  }
+
   /** Starts to follow the table. */
   public void start() {
     loop.execute(this::readAll);
@@ -165,7 +169,7 @@
     }
     long sentAtMs = MonotonicClock.nowMs();
     store
-        .changes(table, version, WAIT_MS)
+        .changes(table, version, waitMs)
         .whenComplete(
             Failures.logged(
                 (changes, failure) -> {
