--- a/daemon/src/main/java/org/sycamoretrack/daemon/farend/MeasuredStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/MeasuredStore.java
@@ -36,7 +36,7 @@
     return switch (value) {
       case WriteResult.Conflict conflict -> "conflict";
       case Changes.HistoryLost lost -> "history_lost";
-      default -> "ok";
+      case null, default -> "ok";
     };
   }
 
