Run repeated tasks again when they throw; bound the calls of the order holder

A task scheduled at a fixed rate that throws is dropped without a word, and a write of the weight plan whose stage never ends stops all planning: either would look like this. Change: repeated tasks log what they throw, as task-failed, and run again; reads and writes of the plan end after 3 s at most. Test: FailuresTest#aTaskThatThrowsIsRunAgain (exceptions and errors of the runtime).

--- a/daemon/src/main/java/org/sycamoretrack/daemon/farend/Failures.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/farend/Failures.java
@@ -10,6 +10,7 @@
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.process.LogEvent;
 
 /** Reads what the failure of a stage says. */
 public final class Failures {
@@ -46,6 +47,28 @@
     };
   }
 
+  /**
+   * Returns a task that logs what it throws and may be run again. A task that is scheduled at a
+   * fixed rate and throws is never run again, without a word.
+   *
+   * @param name names the task in the log
+   * @param task the task
+   */
+  public static Runnable repeated(String name, Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException | Error e) {
+        LOG.log(
+            System.Logger.Level.ERROR,
+            LogEvent.of("task-failed")
+                .with("task", name)
+                .with("reason", e.toString())
+                .with("at", e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString()));
+      }
+    };
+  }
+
   /**
    * Bounds a stage in time. The call itself goes on, so what it does may still take effect.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/RolloutNode.java
@@ -166,9 +166,8 @@
     node.watch.start();
     node.registry.start();
     node.orders.start();
-    node.controlLoop.scheduleAtFixedRate(node::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-    node.controlLoop.scheduleAtFixedRate(
-        node::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    node.repeat("node", node::tick, TICK_MS);
+    node.repeat("sweep", node::sweep, SWEEP_INTERVAL_MS);
     LOG.log(
         System.Logger.Level.INFO,
         LogEvent.of("node-started")
@@ -177,6 +176,11 @@
     return node;
   }
 
+  private void repeat(String name, Runnable task, long intervalMs) {
+    controlLoop.scheduleAtFixedRate(
+        Failures.repeated(name, task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+  }
+
   private static HttpServer serve(
       EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
     return HttpServer.builder().group(group).address(address).handler(handler).start();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -18,6 +18,7 @@
 import org.sycamoretrack.core.request.batch.MovePolicy;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.daemon.farend.EndpointClient;
+import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
@@ -60,7 +61,8 @@
     this.ledger = ledger;
     this.placement = placement;
     this.loop = loop;
-    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    Runnable task = Failures.repeated("batch-scheduler", this::tick);
+    loop.scheduleAtFixedRate(task, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   EndpointClient endpoints() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderHolder.java
@@ -60,6 +60,9 @@
   /** Several times a load; after this the order is taken as lost and planned anew. */
   private static final long LOAD_TIMEOUT_MS = 5_000;
 
+  /** Over the time-outs of the store and of a peer that carries a call, one after the other. */
+  private static final long CALL_TIMEOUT_MS = 3_000;
+
   private final PartitionedStore store;
   private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
@@ -108,7 +111,8 @@
   /** Starts. */
   public void start() {
     lease.start();
-    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    Runnable task = Failures.repeated("order-holder", this::tick);
+    loop.scheduleAtFixedRate(task, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Sets whether this node tries to take the lease. */
@@ -182,8 +186,10 @@
       return;
     }
     writing = true;
-    store
-        .scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.WEIGHTS, 1)
+    Failures.bounded(
+            store.scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.WEIGHTS, 1),
+            loop,
+            CALL_TIMEOUT_MS)
         .whenComplete(
             Failures.logged(
                 (page, failure) -> {
@@ -265,8 +271,7 @@
             .expect(ControlTables.CONTROL, ControlTables.WEIGHTS, planVersion)
             .put(ControlTables.CONTROL, ControlTables.WEIGHTS, ControlTables.write(plan))
             .build();
-    store
-        .commit(write)
+    Failures.bounded(store.commit(write), loop, CALL_TIMEOUT_MS)
         .whenComplete(
             Failures.logged(
                 (result, failure) -> {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -84,7 +84,8 @@
    * earlier process of this host has held it last.
    */
   void start() {
-    loop.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+    Runnable task = Failures.repeated("order-lease", this::tick);
+    loop.scheduleAtFixedRate(task, 0, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Sets whether this node tries to take the lease; with many nodes, only a few need to. */
--- /dev/null
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/farend/FailuresTest.java
@@ -0,0 +1,45 @@
+package org.sycamoretrack.daemon.farend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sycamoretrack.transport.connection.EventLoops;
+
+/** Tests of {@link Failures}. */
+class FailuresTest {
+  private final EventLoopGroup group = EventLoops.start("test", 1);
+
+  @AfterEach
+  void stop() {
+    EventLoops.stop(group);
+  }
+
+  private static void fail(String kind) {
+    if (kind.equals("exception")) {
+      throw new IllegalStateException("on purpose");
+    }
+    throw new NoClassDefFoundError("on purpose");
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"exception", "error"})
+  void aTaskThatThrowsIsRunAgain(String kind) throws InterruptedException {
+    CountDownLatch runs = new CountDownLatch(3);
+    Runnable task =
+        Failures.repeated(
+            "test",
+            () -> {
+              runs.countDown();
+              fail(kind);
+            });
+
+    group.next().scheduleAtFixedRate(task, 0, 5, TimeUnit.MILLISECONDS);
+
+    assertThat(runs.await(5, TimeUnit.SECONDS)).isTrue();
+  }
+}
