Don't keep an endpoint that left while only this node was away from the store

Four nodes had been cut off from 1 to 13 s and lost their way over peers again at 14.8 s; the entry was removed at 14.0 s. When they reached the store again they took the missing entry for one that had lapsed with the store away, and kept it 2 s. Change: entries that are missing after an outage are kept only when half of their service's are, as after an outage of the store itself. A few that did lapse and are dropped come back by themselves. Test: DeploymentWatchTest#anEndpointThatLeftWhileThisNodeWasAwayIsNotKept, failed first.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -23,8 +23,9 @@
  *
  * <p>Invariants: the version of the manifest and of each model never falls within a process. An
  * endpoint that is missing right after an outage of the store stays listed for {@value #REENTRY_MS}
- * ms, since its entry may have lapsed while it could not renew it; one that says that it is
- * draining doesn't.
+ * ms, since its entry may have lapsed while it could not renew it. That holds only when half of the
+ * endpoints of its service are missing, as after an outage of the store itself: a few that are
+ * missing have left while this node alone was away. One that says that it is draining isn't kept.
  *
  * <p>Confined to the control loop, but for {@link #view} and {@link #manifestAgeMs}, which may be
  * called from any thread.
@@ -187,25 +188,41 @@
       Map<String, Endpoint> before = new HashMap<>(listed);
       listed.clear();
       rows.forEach(this::take);
-      before.forEach((id, endpoint) -> keepIfLapsed(id, endpoint));
+      keepLapsed(before);
       endpointsRead = true;
       publish();
     }
 
     @Override
     public void onChanges(List<Row> rows) {
+      Map<String, Endpoint> before = new HashMap<>(listed);
       for (Row row : rows) {
-        Endpoint before = listed.get(row.key());
-        if (!row.isRemoved()) {
-          take(row);
-        } else if (before != null) {
+        if (row.isRemoved()) {
           listed.remove(row.key());
-          keepIfLapsed(row.key(), before);
+        } else {
+          take(row);
         }
       }
+      keepLapsed(before);
       publish();
     }
 
+    private void keepLapsed(Map<String, Endpoint> before) {
+      Map<String, Integer> known = new HashMap<>();
+      Map<String, Integer> missing = new HashMap<>();
+      before.forEach(
+          (id, endpoint) -> {
+            known.merge(endpoint.service(), 1, Integer::sum);
+            missing.merge(endpoint.service(), listed.containsKey(id) ? 0 : 1, Integer::sum);
+          });
+      before.forEach(
+          (id, endpoint) -> {
+            if (2 * missing.get(endpoint.service()) >= known.get(endpoint.service())) {
+              keepIfLapsed(id, endpoint);
+            }
+          });
+    }
+
     private void keepIfLapsed(String id, Endpoint endpoint) {
       long regainedAtMs = endpoints.regainedAtMs();
       long restMs =
