Read the steady clock in one place

Cause: MonotonicClock came with the platform's node, while nine classes of the daemon still had the same computation of their own, seven of them as a private method. Change: they call MonotonicClock. Behaviour is the same. Runs: request, lease, claim, step and membership tests pass; of ConfigurationServiceTest 9 of 10. The tenth, unconditionalChangesThatRaceAreAllAccepted, was refused a change since the configuration changed five times while it was read: a bound in ConfigurationStore.load that is older than this change and does not read the clock.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ControlState.java
@@ -8,12 +8,12 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemNanoClock;
 import org.sycamoretrack.core.process.LeaseTimes;
 import org.sycamoretrack.core.process.Member;
 import org.sycamoretrack.core.process.MemberState;
 import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.farend.EngineClient;
@@ -150,7 +150,7 @@
         .leaseHeld(() -> lease.holds() && configuration.isLoaded())
         .aliveNodeIds(() -> membership.view().aliveIds())
         .control(control::execute)
-        .clocks(ControlState::nowMs, System::currentTimeMillis)
+        .clocks(MonotonicClock::nowMs, System::currentTimeMillis)
         .build();
   }
 
@@ -184,10 +184,6 @@
         .build();
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   private void registerGauges(Metrics metrics) {
     metrics.gauge(
         "configuration_version", "Version in force", () -> configuration.current().version());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MembershipService.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -18,6 +17,7 @@
 import org.sycamoretrack.core.process.Membership;
 import org.sycamoretrack.core.process.MembershipTimings;
 import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SwimMessage;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
@@ -62,7 +62,10 @@
     this.hostList = builder.hostList;
     this.membership =
         new Membership(
-            Objects.requireNonNull(builder.self, "self"), builder.timings, builder.random, nowMs());
+            Objects.requireNonNull(builder.self, "self"),
+            builder.timings,
+            builder.random,
+            MonotonicClock.nowMs());
     this.view = membership.view();
   }
 
@@ -78,7 +81,8 @@
     link.onConnected(peer -> control.execute(() -> onPeerMet(peer)));
     link.onIntroduced(peer -> control.execute(() -> onPeerMet(peer)));
     link.onDisconnected(
-        nodeId -> control.execute(() -> sendAll(membership.onPeerLost(nodeId, nowMs()))));
+        nodeId ->
+            control.execute(() -> sendAll(membership.onPeerLost(nodeId, MonotonicClock.nowMs()))));
     control.scheduleAtFixedRate("membership", TICK_MS, JITTER_SHARE, this::onTick);
     control.scheduleAtFixedRate("load", LOAD_PERIOD_MS, JITTER_SHARE, this::sendLoad);
     if (hostList != null) {
@@ -157,7 +161,7 @@
   }
 
   private void onMessage(String from, SwimMessage message) {
-    sendAll(membership.onMessage(from, message, nowMs()));
+    sendAll(membership.onMessage(from, message, MonotonicClock.nowMs()));
   }
 
   private void onPeerMet(PeerIdentity peer) {
@@ -177,7 +181,7 @@
             0,
             MemberState.ALIVE,
             0);
-    sendAll(membership.onPeerMet(met, nowMs()));
+    sendAll(membership.onPeerMet(met, MonotonicClock.nowMs()));
     publish();
   }
 
@@ -191,14 +195,14 @@
   }
 
   private void onTick() {
-    sendAll(membership.onTick(nowMs()));
+    sendAll(membership.onTick(MonotonicClock.nowMs()));
     publish();
   }
 
   private void sendAll(List<SwimMessage.Envelope> envelopes) {
     for (SwimMessage.Envelope envelope : envelopes) {
       if (!link.send(envelope.to(), new SwimFrame(envelope.message()))) {
-        membership.onSendFailed(envelope.to(), nowMs());
+        membership.onSendFailed(envelope.to(), MonotonicClock.nowMs());
       }
     }
   }
@@ -321,10 +325,6 @@
     loadListeners.forEach(listener -> listener.accept(from, frame.payload()));
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   /** Builds a {@link MembershipService}. */
   public static final class Builder {
     private ControlAgent control;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/Dispatcher.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/Dispatcher.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.EndpointSelector;
 import org.sycamoretrack.core.connection.RequestTraits;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.core.request.RetryBudget;
 
@@ -91,7 +91,7 @@
             request.oldestVersion(),
             Math.max(1, request.maxTokens() - request.priorTokens()),
             excluded);
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    long nowMs = MonotonicClock.nowMs();
     return new EndpointSelector(ThreadLocalRandom.current())
         .choose(candidates.stream().map(Route::view).toList(), traits, nowMs)
         .flatMap(table::ofName);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
@@ -9,6 +9,7 @@
 import org.sycamoretrack.core.connection.EndpointStats;
 import org.sycamoretrack.core.connection.EndpointView;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.AdmissionQueue;
 import org.sycamoretrack.core.request.ConcurrencyLimit;
 import org.sycamoretrack.core.request.Flow;
@@ -128,7 +129,7 @@
 
   private void admit(EndpointTask task) {
     GenerationRequest request = task.request();
-    long nowMs = nowMs();
+    long nowMs = MonotonicClock.nowMs();
     long deadlineMs = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos());
     int expectedTokens = Math.max(1, request.maxTokens() - request.priorTokens());
     Flow flow = Flow.of(request.flow());
@@ -145,7 +146,7 @@
   private void pump() {
     startHeld();
     while (true) {
-      Polled<EndpointTask> polled = queue.poll(nowMs(), inFlight, limit.limit());
+      Polled<EndpointTask> polled = queue.poll(MonotonicClock.nowMs(), inFlight, limit.limit());
       switch (polled) {
         case Polled.Admitted<EndpointTask> admitted -> {
           metrics.onAttempt(admitted.requestClass(), admitted.waitedMs());
@@ -193,14 +194,14 @@
     running.add(task);
     inFlight = inFlight.plus(task.request().requestClass());
     limit.onStart();
-    stats.onStart(nowMs());
+    stats.onStart(MonotonicClock.nowMs());
     poison.onStart(task.fingerprint(), target.name());
     task.send(client, target, limits, loop);
   }
 
   /** Notes a chunk of a running task. */
   void onTokens(EndpointTask task, double elapsedMs, boolean first, int tokens, long version) {
-    long nowMs = nowMs();
+    long nowMs = MonotonicClock.nowMs();
     metrics.onTokens(task.request().requestClass(), tokens);
     lastVersion = version;
     if (first) {
@@ -229,7 +230,7 @@
     }
     limit.onDropped();
     metrics.onAttemptFailed(failure.outcome());
-    stats.onFailure(nowMs());
+    stats.onFailure(MonotonicClock.nowMs());
     task.setFailure(toFailure(failure));
     if (failure.kind() == EngineFailure.Kind.CLOSED_EARLY) {
       brokenOff.add(task);
@@ -327,7 +328,7 @@
   }
 
   private void tick() {
-    stats.update(nowMs(), poolTimePerTokenMs);
+    stats.update(MonotonicClock.nowMs(), poolTimePerTokenMs);
     pump();
     boolean idle = running.isEmpty() && queue.size() == 0 && held.isEmpty();
     ticking = false;
@@ -339,14 +340,10 @@
   private void publishView() {
     view =
         stats
-            .view(target.name(), target.zone(), nowMs())
+            .view(target.name(), target.zone(), MonotonicClock.nowMs())
             .limit(limit.limit())
             .queuedTokens(queue.queuedTokens())
             .servedVersion(lastVersion)
             .build();
   }
-
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PeerLoads.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PeerLoads.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.daemon.connection.EndpointLoad;
 import org.sycamoretrack.daemon.connection.EndpointLoadCodec;
 
@@ -31,7 +31,7 @@
    * @param payload its loads
    */
   public void onPayload(String nodeId, byte[] payload) {
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    long nowMs = MonotonicClock.nowMs();
     List<EndpointLoad> loads = EndpointLoadCodec.decode(payload);
     Map<Integer, Known> known = new ConcurrentHashMap<>();
     loads.forEach(load -> known.put(load.nameHash(), new Known(load, nowMs)));
@@ -41,7 +41,7 @@
   /** Returns what a node told of an endpoint lately, null when it told nothing. */
   Known find(String nodeId, String endpoint) {
     Known known = byNode.getOrDefault(nodeId, Map.of()).get(endpoint.hashCode());
-    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    long nowMs = MonotonicClock.nowMs();
     return known == null || nowMs - known.asOfMs() > MAX_AGE_MS ? null : known;
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
@@ -1,9 +1,9 @@
 package org.sycamoretrack.daemon.request;
 
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.PoisonRegistry;
 import org.sycamoretrack.daemon.process.LogEvent;
 
@@ -44,12 +44,12 @@
 
   /** Says whether a request may run on an endpoint now. */
   synchronized PoisonRegistry.Verdict verdict(String fingerprint, String endpoint) {
-    return registry.verdict(fingerprint, endpoint, nowMs());
+    return registry.verdict(fingerprint, endpoint, MonotonicClock.nowMs());
   }
 
   /** Returns whether a request is to be refused. */
   synchronized boolean isQuarantined(String fingerprint) {
-    return registry.isQuarantined(fingerprint, nowMs());
+    return registry.isQuarantined(fingerprint, MonotonicClock.nowMs());
   }
 
   /** Notes that a request starts on an endpoint. */
@@ -59,7 +59,7 @@
 
   /** Notes that a request ended well. */
   synchronized void onSuccess(String fingerprint, String endpoint) {
-    registry.onSuccess(fingerprint, endpoint, nowMs());
+    registry.onSuccess(fingerprint, endpoint, MonotonicClock.nowMs());
   }
 
   /** Notes that a request ended otherwise while the endpoint lives. */
@@ -72,7 +72,7 @@
     String deathId = nodeId + '/' + endpoint + '/' + deaths.incrementAndGet();
     List<PoisonRegistry.Charge> charges;
     synchronized (this) {
-      charges = registry.onEndpointDeath(endpoint, deathId, nowMs());
+      charges = registry.onEndpointDeath(endpoint, deathId, MonotonicClock.nowMs());
     }
     LOG.log(
         System.Logger.Level.WARNING,
@@ -92,16 +92,12 @@
             message.endpoint(),
             message.observer(),
             message.deathId(),
-            nowMs()));
+            MonotonicClock.nowMs()));
   }
 
   /** Returns the fingerprints that are quarantined, and drops charges that no longer count. */
   public synchronized List<String> quarantined() {
-    registry.expire(nowMs());
-    return registry.quarantined(nowMs());
-  }
-
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    registry.expire(MonotonicClock.nowMs());
+    return registry.quarantined(MonotonicClock.nowMs());
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/RouteBuilder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/RouteBuilder.java
@@ -7,9 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.connection.EndpointView;
 import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.RendezvousHash;
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.core.version.PoolType;
@@ -142,7 +142,7 @@
       return EndpointView.builder(target.name(), target.zone())
           .limit(SERVICE_LIMIT)
           .inService(inService)
-          .asOfMs(nowMs())
+          .asOfMs(MonotonicClock.nowMs())
           .build();
     }
     EndpointWorker worker = endpoints.worker(target.name());
@@ -161,11 +161,11 @@
       return EndpointView.builder(target.name(), target.zone())
           .limit(UNKNOWN_LIMIT)
           .servedVersion(report.servedVersion())
-          .asOfMs(nowMs());
+          .asOfMs(MonotonicClock.nowMs());
     }
     long version = Math.max(report.servedVersion(), worker.lastVersion());
     return EndpointLoad.of(worker.view(), false, version)
-        .toView(target.name(), target.zone(), nowMs());
+        .toView(target.name(), target.zone(), MonotonicClock.nowMs());
   }
 
   private EndpointView remote(Assigned each, EndpointWorker worker, boolean inService) {
@@ -210,8 +210,4 @@
     }
     return loads;
   }
-
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceCaller.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ServiceCaller.java
@@ -15,6 +15,7 @@
 import org.sycamoretrack.core.connection.EndpointView;
 import org.sycamoretrack.core.connection.RequestTraits;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Backoff;
 import org.sycamoretrack.core.request.Outcome;
@@ -70,7 +71,7 @@
 
   private Optional<Route> choose(ServiceCall call, Set<String> excluded) {
     RoutingTable table = routes.get();
-    long nowMs = nowMs();
+    long nowMs = MonotonicClock.nowMs();
     List<EndpointView> views =
         table.ofPool(call.pool()).stream().map(route -> view(route, nowMs)).toList();
     RequestTraits traits = new RequestTraits(RequestClass.INTERACTIVE, zone, 0, 0, 1, excluded);
@@ -92,10 +93,6 @@
     }
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   /** The attempts of one call, which follow each other. */
   private final class Attempts {
     private final ServiceCall call;
@@ -137,7 +134,7 @@
         request.freshConnection();
       }
       EndpointStats stats = stats(target.name());
-      long startMs = nowMs();
+      long startMs = MonotonicClock.nowMs();
       synchronized (stats) {
         stats.onStart(startMs);
       }
@@ -147,7 +144,7 @@
     }
 
     private void onDone(EndpointTarget target, long startMs, HttpAnswer answer, Throwable failure) {
-      long nowMs = nowMs();
+      long nowMs = MonotonicClock.nowMs();
       EndpointStats stats = stats(target.name());
       synchronized (stats) {
         if (failure == null) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationService.java
@@ -14,13 +14,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.Member;
 import org.sycamoretrack.core.process.MembershipView;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.RendezvousHash;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
@@ -155,7 +155,7 @@
             store,
             change,
             UUID.randomUUID().toString(),
-            nowMs() + CHANGE_TIMEOUT_MS);
+            MonotonicClock.nowMs() + CHANGE_TIMEOUT_MS);
     if (!control.execute(() -> enqueue(run))) {
       return CompletableFuture.failedStage(overloaded());
     }
@@ -268,8 +268,9 @@
   }
 
   private void pull(String from) {
-    if (nowMs() >= pullDeadlineMs && link.send(from, new ConfigMessage.Pull(current.version()))) {
-      pullDeadlineMs = nowMs() + PULL_TIMEOUT_MS;
+    if (MonotonicClock.nowMs() >= pullDeadlineMs
+        && link.send(from, new ConfigMessage.Pull(current.version()))) {
+      pullDeadlineMs = MonotonicClock.nowMs() + PULL_TIMEOUT_MS;
     }
   }
 
@@ -335,10 +336,6 @@
         });
   }
 
-  private static long nowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-  }
-
   /** Lends the service to the change that is running. */
   private final class RunHost implements ChangeRun.Host {
     @Override
@@ -363,7 +360,7 @@
 
     @Override
     public long nowMs() {
-      return ConfigurationService.nowMs();
+      return MonotonicClock.nowMs();
     }
   }
 }
