Build error bodies and unwrap failures in one place

Bodies, headers and status codes are the same. Runs: 43 tests of the daemon (operator interface, configuration, keyed calls), 10 of RolloutNodeTest.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/InspectionApi.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/rollout/InspectionApi.java
@@ -1,12 +1,11 @@
 package org.sycamoretrack.daemon.process.rollout;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.daemon.farend.Failures;
-import org.sycamoretrack.transport.process.Json;
+import org.sycamoretrack.daemon.request.ErrorAnswers;
 import org.sycamoretrack.transport.request.HttpAnswer;
 import org.sycamoretrack.transport.request.HttpExchange;
 import org.sycamoretrack.transport.request.HttpHandler;
@@ -58,11 +57,6 @@
   }
 
   private static void fail(HttpExchange exchange, ErrorCode code, String message) {
-    byte[] body =
-        Json.bytes(
-            Json.object()
-                .set("error", Json.object().put("code", code.wireName()).put("message", message)));
-    exchange.respond(
-        new HttpAnswer(code.httpStatus(), Map.of("Content-Type", "application/json"), body));
+    exchange.respond(HttpAnswer.json(code.httpStatus(), ErrorAnswers.body(code, message)));
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/ErrorAnswers.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/ErrorAnswers.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.Outcome;
+import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpAnswer;
 
@@ -31,6 +31,19 @@
     return body;
   }
 
+  /**
+   * Returns the body of an error that says nothing of what became of the request.
+   *
+   * @param code the code
+   * @param message for people
+   * @return {@code {"error": {"code", "message"}}}
+   */
+  public static ObjectNode body(ErrorCode code, String message) {
+    ObjectNode body = Json.object();
+    body.putObject("error").put("code", code.wireName()).put("message", message);
+    return body;
+  }
+
   /**
    * Returns the answer to a request that failed.
    *
@@ -60,10 +73,7 @@
    * @return the error; {@link ErrorCode#INTERNAL} for one without a code
    */
   public static SycamoreException toError(Throwable failure) {
-    Throwable cause = failure;
-    while (cause instanceof CompletionException && cause.getCause() != null) {
-      cause = cause.getCause();
-    }
+    Throwable cause = Failures.unwrap(failure);
     if (cause instanceof SycamoreException error) {
       return error;
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeRun.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
 import org.sycamoretrack.core.process.ErrorCode;
@@ -12,6 +11,7 @@
 import org.sycamoretrack.core.version.Resource;
 import org.sycamoretrack.core.version.ResourceKey;
 import org.sycamoretrack.core.version.Violation;
+import org.sycamoretrack.daemon.farend.Failures;
 import org.sycamoretrack.daemon.farend.TransactionResult;
 
 /**
@@ -161,7 +161,8 @@
 
   private void onCommitFailed(Throwable failure) {
     boolean notRun =
-        unwrap(failure) instanceof SycamoreException coded && coded.outcome() == Outcome.NOT_RUN;
+        Failures.unwrap(failure) instanceof SycamoreException coded
+            && coded.outcome() == Outcome.NOT_RUN;
     if (notRun && !unsettled) {
       fail(failure);
       return;
@@ -196,7 +197,7 @@
     return new SycamoreException(
         ErrorCode.PLATFORM_UNAVAILABLE,
         Outcome.NOT_RUN,
-        "the table can't be read: " + unwrap(failure).getMessage());
+        "the table can't be read: " + Failures.unwrap(failure).getMessage());
   }
 
   private static SycamoreException unknown() {
@@ -212,12 +213,6 @@
   }
 
   private void fail(Throwable failure) {
-    result.completeExceptionally(unwrap(failure));
-  }
-
-  private static Throwable unwrap(Throwable failure) {
-    return failure instanceof CompletionException && failure.getCause() != null
-        ? failure.getCause()
-        : failure;
+    result.completeExceptionally(Failures.unwrap(failure));
   }
 }
