Register metrics in one place; build one set of them at the start

Cause: the metrics of a node on a platform repeated the registering, labels and text form of the other node's. The builder of the batch components made a set of its own before it was given the node's, so each start registered every metric twice. Change: MetricsRegistry serves both; the builder requires the metrics. Names, labels, buckets and text are the same. The time of a start was not measured before and after.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Metrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Metrics.java
@@ -1,14 +1,7 @@
 package org.sycamoretrack.daemon.process;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.util.Locale;
 import java.util.function.DoubleSupplier;
 import org.sycamoretrack.core.request.Outcome;
 import org.sycamoretrack.core.request.RequestClass;
@@ -18,53 +11,40 @@
  * come from fixed sets, so that their number is bounded. Thread-safe.
  */
 public final class Metrics {
-  private static final String PREFIX = "sycamoretrack_";
-  private static final double MS_PER_SECOND = 1_000.0;
   private static final double[] SECONDS = {
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300
   };
   private static final double[] VERSIONS = {0, 1, 2, 3, 4, 5, 10};
 
-  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final MetricsRegistry registry = new MetricsRegistry();
   private final Histogram queueTime =
-      histogram("queue_time_seconds", "Wait for an engine", "class");
+      registry.histogram("queue_time_seconds", "Wait for an engine", SECONDS, "class");
   private final Histogram requestTime =
-      histogram("request_time_seconds", "From a call's arrival to its end", "api");
-  private final Counter attempts = counter("attempts_total", "Attempts sent to engines", "class");
+      registry.histogram(
+          "request_time_seconds", "From a call's arrival to its end", SECONDS, "api");
+  private final Counter attempts =
+      registry.counter("attempts_total", "Attempts sent to engines", "class");
   private final Counter failedAttempts =
-      counter("failed_attempts_total", "Attempts that failed, by what is known of them", "outcome");
+      registry.counter(
+          "failed_attempts_total", "Attempts that failed, by what is known of them", "outcome");
   private final Counter refusals =
-      counter("refusals_total", "Calls answered with an error, by what is known", "outcome");
-  private final Counter tokens = counter("tokens_total", "Tokens generated", "class");
+      registry.counter(
+          "refusals_total", "Calls answered with an error, by what is known", "outcome");
+  private final Counter tokens = registry.counter("tokens_total", "Tokens generated", "class");
   private final Counter samples =
-      counter("samples_total", "Samples by what became of them", "fate");
+      registry.counter("samples_total", "Samples by what became of them", "fate");
   private final Histogram staleness =
-      Histogram.builder()
-          .name(PREFIX + "sample_staleness_versions")
-          .help("Versions between the trainer's and the oldest of a delivered sample")
-          .classicUpperBounds(VERSIONS)
-          .classicOnly()
-          .register(registry);
+      registry.histogram(
+          "sample_staleness_versions",
+          "Versions between the trainer's and the oldest of a delivered sample",
+          VERSIONS);
   private final Histogram pollWait =
-      histogram("poll_wait_seconds", "Time that a trainer's poll waits for samples");
+      registry.histogram(
+          "poll_wait_seconds", "Time that a trainer's poll waits for samples", SECONDS);
 
   /** Creates metrics that count from zero. */
   public Metrics() {}
 
-  private Histogram histogram(String name, String help, String... labels) {
-    return Histogram.builder()
-        .name(PREFIX + name)
-        .help(help)
-        .labelNames(labels)
-        .classicUpperBounds(SECONDS)
-        .classicOnly()
-        .register(registry);
-  }
-
-  private Counter counter(String name, String help, String label) {
-    return Counter.builder().name(PREFIX + name).help(help).labelNames(label).register(registry);
-  }
-
   /**
    * Adds a gauge.
    *
@@ -73,18 +53,14 @@
    * @param value read at each scrape, from any thread
    */
   public void gauge(String name, String help, DoubleSupplier value) {
-    GaugeWithCallback.builder()
-        .name(PREFIX + name)
-        .help(help)
-        .callback(callback -> callback.call(value.getAsDouble()))
-        .register(registry);
+    registry.gauge(name, help, value);
   }
 
   /** Notes that an attempt was sent to an engine after a wait in its queue. */
   public void onAttempt(RequestClass requestClass, long waitedMs) {
-    String label = label(requestClass);
+    String label = MetricsRegistry.label(requestClass);
     attempts.labelValues(label).inc();
-    queueTime.labelValues(label).observe(waitedMs / MS_PER_SECOND);
+    queueTime.labelValues(label).observe(waitedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Notes that an attempt failed. */
@@ -94,12 +70,12 @@
 
   /** Notes generated tokens. */
   public void onTokens(RequestClass requestClass, int count) {
-    tokens.labelValues(label(requestClass)).inc(count);
+    tokens.labelValues(MetricsRegistry.label(requestClass)).inc(count);
   }
 
   /** Notes that a call was answered well. */
   public void onAnswered(String api, long elapsedMs) {
-    requestTime.labelValues(api).observe(elapsedMs / MS_PER_SECOND);
+    requestTime.labelValues(api).observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Notes that a call was answered with an error. */
@@ -125,21 +101,11 @@
 
   /** Notes how long a poll waited. */
   public void onPollAnswered(long waitedMs) {
-    pollWait.observe(waitedMs / MS_PER_SECOND);
-  }
-
-  private static String label(RequestClass requestClass) {
-    return requestClass.name().toLowerCase(Locale.ROOT);
+    pollWait.observe(waitedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Returns all metrics in Prometheus text format. */
   public String scrape() {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.create().write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return out.toString(java.nio.charset.StandardCharsets.UTF_8);
+    return registry.scrape();
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/RolloutMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/RolloutMetrics.java
@@ -1,17 +1,8 @@
 package org.sycamoretrack.daemon.process;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
 
@@ -41,37 +32,44 @@
     }
   }
 
-  private static final String PREFIX = "sycamoretrack_";
-  private static final double MS_PER_SECOND = 1_000.0;
-
   /** From an answer of the store to the longest item, each step some 2.5 times the one before. */
   private static final double[] SECONDS = {0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
-  private final PrometheusRegistry registry = new PrometheusRegistry();
-  private final Set<String> names = ConcurrentHashMap.newKeySet();
+  private final MetricsRegistry registry = new MetricsRegistry();
   private final Counter requests =
-      counter("requests_total", "Calls of callers by kind of route and outcome", "kind", "outcome");
+      registry.counter(
+          "requests_total", "Calls of callers by kind of route and outcome", "kind", "outcome");
   private final Histogram requestTime =
-      histogram("request_time_seconds", "From a call's arrival to its outcome", "kind");
+      registry.histogram(
+          "request_time_seconds", "From a call's arrival to its outcome", SECONDS, "kind");
   private final Counter refusals =
-      counter("refusals_total", "Calls answered with an error of the node's own", "code");
+      registry.counter("refusals_total", "Calls answered with an error of the node's own", "code");
   private final Counter attempts =
-      counter("attempts_total", "Plain requests sent to endpoints by outcome", "outcome");
+      registry.counter("attempts_total", "Plain requests sent to endpoints by outcome", "outcome");
   private final Histogram attemptTime =
-      histogram("attempt_time_seconds", "From sending to an endpoint to the outcome");
+      registry.histogram(
+          "attempt_time_seconds", "From sending to an endpoint to the outcome", SECONDS);
   private final Counter itemRuns =
-      counter("item_runs_total", "Runs of items at endpoints by how they ended", "outcome");
+      registry.counter(
+          "item_runs_total", "Runs of items at endpoints by how they ended", "outcome");
   private final Histogram itemRunTime =
-      histogram("item_run_time_seconds", "From the start of a run of an item to its end");
-  private final Counter results = counter("results_listed_total", "Results of items listed");
+      registry.histogram(
+          "item_run_time_seconds", "From the start of a run of an item to its end", SECONDS);
+  private final Counter results =
+      registry.counter("results_listed_total", "Results of items listed");
   private final Counter orders =
-      counter("orders_total", "Orders to load weights by outcome", "outcome");
+      registry.counter("orders_total", "Orders to load weights by outcome", "outcome");
   private final Counter ownerChanges =
-      counter("batch_owner_changes_total", "Batches that came to this node or left it", "change");
+      registry.counter(
+          "batch_owner_changes_total", "Batches that came to this node or left it", "change");
   private final Counter storeCalls =
-      counter("store_calls_total", "Calls of the store by outcome", "call", "outcome");
+      registry.counter("store_calls_total", "Calls of the store by outcome", "call", "outcome");
   private final Histogram storeCallTime =
-      histogram("store_call_time_seconds", "From sending a call of the store to its end", "call");
+      registry.histogram(
+          "store_call_time_seconds",
+          "From sending a call of the store to its end",
+          SECONDS,
+          "call");
   private final AtomicInteger openBatches = new AtomicInteger();
 
   /** Creates metrics that count from zero. */
@@ -81,20 +79,6 @@
     gauge("log_lines_dropped", "Lines lost since nobody read them", JsonLog::droppedLines);
   }
 
-  private Histogram histogram(String name, String help, String... labels) {
-    return Histogram.builder()
-        .name(named(name))
-        .help(help)
-        .labelNames(labels)
-        .classicUpperBounds(SECONDS)
-        .classicOnly()
-        .register(registry);
-  }
-
-  private Counter counter(String name, String help, String... labels) {
-    return Counter.builder().name(named(name)).help(help).labelNames(labels).register(registry);
-  }
-
   /**
    * Adds a gauge.
    *
@@ -103,25 +87,12 @@
    * @param value read at each scrape, from any thread
    */
   public void gauge(String name, String help, DoubleSupplier value) {
-    GaugeWithCallback.builder()
-        .name(named(name))
-        .help(help)
-        .callback(callback -> callback.call(value.getAsDouble()))
-        .register(registry);
-  }
-
-  private String named(String name) {
-    names.add(PREFIX + name);
-    return PREFIX + name;
+    registry.gauge(name, help, value);
   }
 
   /** Returns the names of all metrics, also of those that nothing was counted for yet. */
   public Set<String> names() {
-    return Set.copyOf(names);
-  }
-
-  private static String label(Enum<?> value) {
-    return value.name().toLowerCase(Locale.ROOT);
+    return registry.names();
   }
 
   /**
@@ -132,13 +103,15 @@
    * @param elapsedMs since it arrived, in milliseconds
    */
   public void onRequest(Enum<?> kind, String outcome, long elapsedMs) {
-    requests.labelValues(label(kind), outcome).inc();
-    requestTime.labelValues(label(kind)).observe(elapsedMs / MS_PER_SECOND);
+    requests.labelValues(MetricsRegistry.label(kind), outcome).inc();
+    requestTime
+        .labelValues(MetricsRegistry.label(kind))
+        .observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Notes that a call was answered with an error of the node's own. */
   public void onRefused(Enum<?> code) {
-    refusals.labelValues(label(code)).inc();
+    refusals.labelValues(MetricsRegistry.label(code)).inc();
   }
 
   /**
@@ -149,7 +122,7 @@
    */
   public void onAttempt(String outcome, long elapsedMs) {
     attempts.labelValues(outcome).inc();
-    attemptTime.observe(elapsedMs / MS_PER_SECOND);
+    attemptTime.observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /**
@@ -159,8 +132,8 @@
    * @param elapsedMs since it was started, in milliseconds
    */
   public void onItemRun(Enum<?> end, long elapsedMs) {
-    itemRuns.labelValues(label(end)).inc();
-    itemRunTime.observe(elapsedMs / MS_PER_SECOND);
+    itemRuns.labelValues(MetricsRegistry.label(end)).inc();
+    itemRunTime.observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Notes listed results. */
@@ -179,7 +152,7 @@
 
   /** Notes that a batch came to this node, or left it. */
   public void onOwnerChange(OwnerChange change) {
-    ownerChanges.labelValues(label(change)).inc();
+    ownerChanges.labelValues(MetricsRegistry.label(change)).inc();
     openBatches.addAndGet(change.isGain() ? 1 : -1);
   }
 
@@ -192,17 +165,11 @@
    */
   public void onStoreCall(String call, String outcome, long elapsedMs) {
     storeCalls.labelValues(call, outcome).inc();
-    storeCallTime.labelValues(call).observe(elapsedMs / MS_PER_SECOND);
+    storeCallTime.labelValues(call).observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
   /** Returns all metrics in Prometheus text format. */
   public String scrape() {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.create().write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return out.toString(StandardCharsets.UTF_8);
+    return registry.scrape();
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -49,7 +49,7 @@
     return forwarder;
   }
 
-  /** Builds {@link BatchComponents}; all values but the metrics are required. */
+  /** Builds {@link BatchComponents}; all values are required. */
   public static final class Builder {
     private PartitionedStore store;
     private EndpointClient endpoints;
@@ -58,7 +58,7 @@
     private String nodeId;
     private String incarnation;
     private String zone;
-    private RolloutMetrics metrics = new RolloutMetrics();
+    private RolloutMetrics metrics;
 
     private Builder() {}
 
@@ -119,6 +119,7 @@
       Objects.requireNonNull(nodeId, "nodeId");
       Objects.requireNonNull(incarnation, "incarnation");
       Objects.requireNonNull(zone, "zone");
+      Objects.requireNonNull(metrics, "metrics");
       return new BatchComponents(this);
     }
   }
