--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.version.deployment;
 
 import io.netty.channel.EventLoop;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -185,52 +186,61 @@
   private final class Endpoints implements TableWatch.Listener {
     @Override
     public void onSnapshot(List<Row> rows) {
-      Map<String, Endpoint> before = new HashMap<>(listed);
+      Map<String, Endpoint> missing = new HashMap<>(listed);
+      Map<String, Integer> known = countByService(missing.values());
       listed.clear();
       rows.forEach(this::take);
-      keepLapsed(before);
+      missing.keySet().removeAll(listed.keySet());
+      keepLapsed(missing, known);
       endpointsRead = true;
       publish();
     }
 
     @Override
     public void onChanges(List<Row> rows) {
-      Map<String, Endpoint> before = new HashMap<>(listed);
+      Map<String, Endpoint> missing = new HashMap<>();
+      Map<String, Integer> known = reentryMs() > 0 ? countByService(listed.values()) : Map.of();
       for (Row row : rows) {
-        if (row.isRemoved()) {
-          listed.remove(row.key());
-        } else {
+        if (!row.isRemoved()) {
           take(row);
+        } else if (listed.containsKey(row.key())) {
+          missing.put(row.key(), listed.remove(row.key()));
         }
       }
-      keepLapsed(before);
+      missing.keySet().removeAll(listed.keySet());
+      keepLapsed(missing, known);
       publish();
     }
 
-    private void keepLapsed(Map<String, Endpoint> before) {
-      Map<String, Integer> known = new HashMap<>();
-      Map<String, Integer> missing = new HashMap<>();
-      before.forEach(
-          (id, endpoint) -> {
-            known.merge(endpoint.service(), 1, Integer::sum);
-            missing.merge(endpoint.service(), listed.containsKey(id) ? 0 : 1, Integer::sum);
-          });
-      before.forEach(
-          (id, endpoint) -> {
-            if (2 * missing.get(endpoint.service()) >= known.get(endpoint.service())) {
-              keepIfLapsed(id, endpoint);
-            }
-          });
+    private static Map<String, Integer> countByService(Collection<Endpoint> endpoints) {
+      Map<String, Integer> counts = new HashMap<>();
+      endpoints.forEach(endpoint -> counts.merge(endpoint.service(), 1, Integer::sum));
+      return counts;
     }
 
-    private void keepIfLapsed(String id, Endpoint endpoint) {
+    /** Returns for how long entries that lapsed with the store away may still come back. */
+    private long reentryMs() {
       long regainedAtMs = endpoints.regainedAtMs();
-      long restMs =
-          regainedAtMs == Long.MIN_VALUE ? 0 : regainedAtMs + REENTRY_MS - MonotonicClock.nowMs();
-      if (restMs > 0 && !endpoint.draining() && !listed.containsKey(id)) {
-        listed.put(id, endpoint);
-        loop.schedule(() -> dropUnlessRenewed(id, endpoint), restMs, TimeUnit.MILLISECONDS);
+      return regainedAtMs == Long.MIN_VALUE
+          ? 0
+          : regainedAtMs + REENTRY_MS - MonotonicClock.nowMs();
+    }
+
+    private void keepLapsed(Map<String, Endpoint> missing, Map<String, Integer> known) {
+      long restMs = reentryMs();
+      if (restMs <= 0 || missing.isEmpty()) {
+        return;
       }
+      Map<String, Integer> missingCounts = countByService(missing.values());
+      missing.forEach(
+          (id, endpoint) -> {
+            String service = endpoint.service();
+            boolean mayHaveLapsed = 2 * missingCounts.get(service) >= known.get(service);
+            if (mayHaveLapsed && !endpoint.draining()) {
+              listed.put(id, endpoint);
+              loop.schedule(() -> dropUnlessRenewed(id, endpoint), restMs, TimeUnit.MILLISECONDS);
+            }
+          });
     }
 
     private void dropUnlessRenewed(String id, Endpoint endpoint) {
