Accept a configuration change that races a series of others

Cause: ConfigurationStore.load began anew whenever the head had moved, five times at most, with all rows changed since the known configuration; ChangeExecution gave up after 16 conflicts. A node that is reached by neither peer nor luck loses both races. Change: a read goes on from what it has read and fetches only the rows changed since; both loops are bounded by time (5 s of the 10 s that a change has) and not by number. Ruled out: a delay between attempts, since each conflict means that another change went through.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeExecution.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ChangeExecution.java
@@ -30,7 +30,6 @@
  * conflict: the head row is at version 8 and lists this change, so it was accepted.
  */
 final class ChangeExecution {
-  private static final int MAX_ATTEMPTS = 16;
   private static final long RETRY_DELAY_MS = 200;
 
   /** The operations of the service that an execution needs. */
@@ -60,7 +59,7 @@
   private ConfigurationHead head;
   private Configuration next;
   private boolean outcomeUnknown;
-  private int attempts;
+  private boolean attempted;
 
   ChangeExecution(
       Context context, ConfigurationStore store, Change change, String changeId, long deadlineMs) {
@@ -75,8 +74,12 @@
     return result;
   }
 
+  /**
+   * Reads the configuration and commits the change to it. A conflict means that another change was
+   * accepted, so the next attempt follows at once.
+   */
   void attempt() {
-    if (++attempts > MAX_ATTEMPTS) {
+    if (attempted && context.nowMs() >= deadlineMs) {
       fail(
           new SycamoreException(
               ErrorCode.OVERLOADED,
@@ -84,6 +87,7 @@
               "too many concurrent changes; the change was not executed"));
       return;
     }
+    attempted = true;
     context.onResult(store.readHead(), this::onHead);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/ConfigurationStore.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.core.version.Configuration;
@@ -22,15 +23,18 @@
  * conditional on the version of the head row. So of two changes to the same configuration one is
  * rejected, and a transaction that is sent twice takes effect once.
  *
- * <p>A read of several rows is not atomic. The head is therefore read before and after; when it
- * changed, the read is repeated.
+ * <p>A read of several rows is not atomic. The head is therefore read before and after. When it
+ * changed, the rows that were changed since are read again, until the head stays the same. Each
+ * round reads only the latest changes, so a node catches up with a series of changes.
  */
 final class ConfigurationStore {
   static final String TABLE = "configuration";
   static final String HEAD_KEY = "head";
   private static final String ROW_PREFIX = "r/";
   private static final int PAGE_ROWS = 500;
-  private static final int MAX_READS = 5;
+
+  /** Half of the time limit of a change, which leaves time for its transaction. */
+  private static final long LOAD_TIMEOUT_MS = 5_000;
 
   private final TableStore table;
 
@@ -70,15 +74,15 @@
    * those since the known configuration.
    */
   CompletionStage<Configuration> load(Configuration known, ConfigurationHead head) {
-    return load(known, head, MAX_READS);
+    return load(known, head, MonotonicClock.nowMs() + LOAD_TIMEOUT_MS);
   }
 
   private CompletionStage<Configuration> load(
-      Configuration known, ConfigurationHead head, int readsLeft) {
+      Configuration known, ConfigurationHead head, long deadlineMs) {
     if (head.version() <= known.version()) {
       return CompletableFuture.completedStage(known);
     }
-    if (readsLeft == 0) {
+    if (MonotonicClock.nowMs() >= deadlineMs) {
       return CompletableFuture.failedStage(
           new SycamoreException(
               ErrorCode.PLATFORM_UNAVAILABLE,
@@ -94,7 +98,7 @@
                     after ->
                         after.version() == head.version()
                             ? CompletableFuture.completedStage(next)
-                            : load(known, after, readsLeft - 1)));
+                            : load(next, after, deadlineMs)));
   }
 
   private CompletionStage<Configuration> readChanged(Configuration known, ConfigurationHead head) {
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/ConfigurationServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/ConfigurationServiceTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.agrona.concurrent.SystemNanoClock;
@@ -20,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.Member;
 import org.sycamoretrack.core.process.MemberState;
@@ -183,6 +185,30 @@
     awaitVersion(2);
   }
 
+  /**
+   * A node without a link to others learns their changes from the table alone. Each of its reads is
+   * outdated at once, as happens while another node makes a series of changes.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 12, 40})
+  void aChangeIsAcceptedAfterASeriesOfChangesElsewhere(int changesElsewhere) {
+    Node a = new Node("a", InMemoryTable.Fault.NONE);
+    Node b = new Node("b", InMemoryTable.Fault.NONE);
+    AtomicInteger reads = new AtomicInteger();
+    a.client.afterRead =
+        () -> {
+          int read = reads.incrementAndGet();
+          if (read <= changesElsewhere) {
+            b.join(b.put("b-" + read, new Precondition.Any()));
+          }
+        };
+
+    Configuration changed = a.join(a.put("modellhall", new Precondition.Any()));
+
+    assertThat(changed.pools()).hasSize(changesElsewhere + 1);
+    assertThat(changed.version()).isEqualTo(changesElsewhere + 1);
+  }
+
   @Test
   void unconditionalChangesThatRaceAreAllAccepted() {
     Node a = new Node("a", InMemoryTable.Fault.NONE);
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/InMemoryTable.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/InMemoryTable.java
@@ -87,10 +87,16 @@
   final class Client implements TableStore {
     volatile Fault fault = Fault.NONE;
     volatile Runnable beforeTransaction = () -> {};
+    volatile Runnable afterRead = () -> {};
 
     @Override
     public CompletionStage<Optional<TableStore.Row>> read(String table, String key) {
-      return call(() -> InMemoryTable.this.read(table + "/" + key, key));
+      return call(
+          () -> {
+            Optional<TableStore.Row> row = InMemoryTable.this.read(table + "/" + key, key);
+            afterRead.run();
+            return row;
+          });
     }
 
     @Override
