Report a request whose deadline passed as timed out, whichever timer ends first

Cause: the timeouts of the last attempt and of the call end in the same millisecond; a lost attempt that came first was reported as Lost, beside load. Bounds are unchanged.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -189,6 +189,9 @@
     }
     if (failedResponse != null) {
       end(new ForwardOutcome.Answered(failedResponse.response()));
+    } else if (MonotonicClock.nowMs() >= deadlineMs) {
+      // The timeouts of the last attempt and of the call end at the same time, in either order.
+      end(new ForwardOutcome.TimedOut());
     } else if (maybeRan) {
       end(new ForwardOutcome.Lost(lastReason));
     } else {
