--- a/standins/src/main/java/org/sycamoretrack/standins/process/EngineStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/EngineStandin.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -247,12 +249,29 @@
   private void beginCrash(int restartAfterMs) {
     crashes++;
     batcher.stop();
-    LIFECYCLE.execute(() -> server.close());
+    LIFECYCLE.execute(this::closeServer);
     if (restartAfterMs >= 0) {
       LIFECYCLE.schedule(this::restartOnLifecycleThread, restartAfterMs, TimeUnit.MILLISECONDS);
     }
   }
 
+  /**
+   * Closes the server and waits until its port refuses connections: the kernel accepts them until
+   * the event loop has released the closed socket.
+   */
+  private void closeServer() {
+    server.close();
+    boolean accepts = true;
+    while (accepts) {
+      try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+        accepts = socket.isConnected();
+      } catch (IOException e) {
+        // The port refuses connections, which is what this method waits for.
+        accepts = false;
+      }
+    }
+  }
+
   /**
    * Crashes the engine without a restart.
    *
--- a/standins/src/test/java/org/sycamoretrack/standins/process/EngineStandinTest.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/process/EngineStandinTest.java
@@ -4,9 +4,12 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.ConnectException;
+import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,6 +52,16 @@
         + "}";
   }
 
+  /** The kernel may accept connections until the event loop has released the closed socket. */
+  @RepeatedTest(50)
+  void aCrashedEngineAcceptsNoConnection() {
+    start(fastSettings());
+    engine.crash().join();
+
+    assertThatThrownBy(() -> new Socket(engine.address().getAddress(), engine.address().getPort()))
+        .isInstanceOf(ConnectException.class);
+  }
+
   @ParameterizedTest
   @CsvSource({"0, 1", "0, 64", "50, 3"})
   void outputDependsOnPromptAndSeedOnly(int tokenTimeUs, int tokensPerChunk) {
