Score the texts of batch items through a call to a service

Change: core.request.scoring decides when a text is scored (ScoreOrder, ScoreAdmission), with which time limit, how often and what each outcome means (ScoreProgress); ScoreScheduler and ScoreCall send the calls; the adapter decodes scorer, encodes score and tells the outcomes of a call apart. A result carries its score in the transaction that lists it. BatchItem is built by a builder. Ruled out: sending the calls through the forwarder of plain requests, which hedges after 90 ms, counts no single 500 and doesn't yield to callers.

--- a/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
@@ -1,11 +1,26 @@
 package org.sycamoretrack.core.request.batch;
 
-/** The progress of an item of an open batch. Confined to the thread of its batch. */
+import java.util.Optional;
+import org.sycamoretrack.core.request.scoring.ScoreProgress;
+
+/**
+ * The progress of an item of an open batch.
+ *
+ * <p>An item waits, runs on an endpoint, and has a result. An item with a scoring request is scored
+ * between the end of its last run and its result:
+ *
+ * <pre>
+ * waiting <-> running -> [scoring] -> finished
+ * </pre>
+ *
+ * <p>Confined to the thread of its batch.
+ */
 public final class ItemProgress {
   private final BatchItem item;
   private ItemText text = new ItemText();
   private boolean running;
   private boolean finished;
+  private ScoreProgress scoring;
   private int failures;
   private int interruptions;
   private long notBeforeMs;
@@ -40,7 +55,7 @@
    * @param nowMs the monotonic time in milliseconds
    */
   public boolean isWaiting(long nowMs) {
-    return !running && !finished && nowMs >= notBeforeMs;
+    return !running && !finished && !text.isComplete() && nowMs >= notBeforeMs;
   }
 
   /** Returns whether the item has a result. */
@@ -84,9 +99,25 @@
     }
   }
 
+  /**
+   * Records that the text is complete and is to be scored.
+   *
+   * @param nowMs the monotonic time in milliseconds
+   */
+  public void onScoringStarted(long nowMs) {
+    running = false;
+    scoring = new ScoreProgress(nowMs);
+  }
+
+  /** Returns the progress of scoring; empty before the text is complete and when finished. */
+  public Optional<ScoreProgress> scoring() {
+    return Optional.ofNullable(scoring);
+  }
+
   /** Marks the item as finished and returns whether it was not finished before. */
   boolean finish() {
     running = false;
+    scoring = null;
     boolean first = !finished;
     finished = true;
     return first;
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/ItemText.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/ItemText.java
@@ -15,6 +15,7 @@
   private final StringBuilder data = new StringBuilder();
   private final TreeSet<Integer> versions = new TreeSet<>();
   private int lastEvent;
+  private boolean complete;
 
   /** Creates an empty text. */
   public ItemText() {}
@@ -55,11 +56,22 @@
     return true;
   }
 
+  /** Records that no event follows. */
+  public void markComplete() {
+    complete = true;
+  }
+
+  /** Returns whether no event follows. */
+  public boolean isComplete() {
+    return complete;
+  }
+
   /** Removes all events, so that the next run starts from the beginning. */
   public void reset() {
     data.setLength(0);
     versions.clear();
     lastEvent = 0;
+    complete = false;
   }
 
   /** Returns the number of the last event, 0 if there is none. */
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/LongestFirstOrder.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/LongestFirstOrder.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -45,11 +44,8 @@
    */
   public List<ItemProgress> waiting(OpenBatch batch, long nowMs) {
     List<ItemProgress> waiting = new ArrayList<>();
-    Map<String, Integer> unfinished = new HashMap<>();
+    Map<String, Integer> unfinished = batch.unfinishedByGroup();
     for (ItemProgress item : batch.items()) {
-      if (!item.isFinished()) {
-        unfinished.merge(item.item().group(), 1, Integer::sum);
-      }
       if (item.isWaiting(nowMs)) {
         waiting.add(item);
       }
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/OpenBatch.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/OpenBatch.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.ToIntFunction;
 
@@ -63,6 +65,22 @@
     return (int) items.stream().filter(item -> item.isWaiting(nowMs)).count();
   }
 
+  /** Returns the number of items whose text is complete and not scored yet. */
+  public int scoringCount() {
+    return (int) items.stream().filter(item -> item.scoring().isPresent()).count();
+  }
+
+  /** Returns the number of items without a result by the name of their group. */
+  public Map<String, Integer> unfinishedByGroup() {
+    Map<String, Integer> unfinished = new HashMap<>();
+    for (ItemProgress item : items) {
+      if (!item.isFinished()) {
+        unfinished.merge(item.item().group(), 1, Integer::sum);
+      }
+    }
+    return unfinished;
+  }
+
   /** Returns the results of the commit in progress; empty if there is none. */
   public List<ItemResult> committing() {
     return committing;
--- a/core/src/test/java/org/sycamoretrack/core/request/batch/OpenBatchTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/request/batch/OpenBatchTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Tests of {@link OpenBatch} and {@link LongestFirstOrder}. */
@@ -14,7 +13,12 @@
     for (int hint : hints) {
       int index = items.size();
       String group = "g" + index / 2;
-      items.add(new BatchItem(index, "i" + index, "/p", Map.of(), new byte[0], "m", group, hint));
+      items.add(
+          BatchItem.builder(index, "i" + index, "/p")
+              .model("m")
+              .group(group)
+              .lengthHint(hint)
+              .build());
     }
     BatchSubmission submission =
         new BatchSubmission(
@@ -23,7 +27,7 @@
   }
 
   private static ItemResult result(OpenBatch batch, int index) {
-    return new ItemResult(batch.items().get(index).item().id(), true, "text", List.of(1));
+    return new ItemResult(batch.items().get(index).item().id(), true, "text", List.of(1), "");
   }
 
   private static List<String> ids(List<ItemResult> results) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.sycamoretrack.core.request.batch.BatchItem;
+import org.sycamoretrack.core.request.scoring.ScoreOutcome;
+import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.transport.request.HttpCall;
 import org.sycamoretrack.transport.request.HttpResponse;
@@ -79,6 +81,18 @@
     void onAttemptResult(AttemptResult result);
   }
 
+  /** Receives the outcome of a scoring call. */
+  @FunctionalInterface
+  interface ScoreListener {
+    /**
+     * Called exactly once.
+     *
+     * @param outcome the outcome
+     * @param load the load of the endpoint, null when not reported
+     */
+    void onOutcome(ScoreOutcome outcome, LoadReport load);
+  }
+
   /** How the execution of a batch item ended. */
   enum RunEnd {
     /** The text is complete. */
@@ -185,6 +199,17 @@
   HttpCall send(
       Endpoint endpoint, PlainRequest request, long remainingMs, AttemptResultListener listener);
 
+  /**
+   * Sends a scoring call.
+   *
+   * @param endpoint the endpoint
+   * @param request the request
+   * @param timeoutMs the time limit of the call in milliseconds
+   * @param listener receives the outcome
+   * @return the call; cancelling it stops the execution, and the listener is not called any more
+   */
+  HttpCall score(Endpoint endpoint, ScoreRequest request, long timeoutMs, ScoreListener listener);
+
   /**
    * Executes a batch item.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletionStage;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.batch.BatchItem;
+import org.sycamoretrack.core.request.scoring.ScoreOutcome;
+import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.transport.request.HttpCall;
@@ -46,6 +48,29 @@
     };
   }
 
+  @Override
+  public HttpCall score(
+      Endpoint endpoint, ScoreRequest request, long timeoutMs, ScoreListener listener) {
+    long sentMs = MonotonicClock.nowMs();
+    return endpoints.score(
+        endpoint,
+        request,
+        timeoutMs,
+        (outcome, load) -> {
+          metrics.onScoreCall(outcome(outcome), MonotonicClock.nowMs() - sentMs);
+          listener.onOutcome(outcome, load);
+        });
+  }
+
+  private static String outcome(ScoreOutcome outcome) {
+    return switch (outcome) {
+      case ScoreOutcome.Scored scored -> "scored";
+      case ScoreOutcome.Failed failed -> "failed";
+      case ScoreOutcome.NotRun notRun -> "not_run";
+      case ScoreOutcome.Lost lost -> "lost";
+    };
+  }
+
   @Override
   public HttpCall runItem(
       Endpoint endpoint, String host, BatchItem item, int afterEvent, ItemListener listener) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -67,6 +67,18 @@
           "item_run_time_seconds",
           "Time from the start of a run of an item to its end",
           BUCKET_BOUNDS_SECONDS);
+  private final Counter scoreCalls =
+      registry.counter("score_calls_total", "Calls to scoring services by outcome", "outcome");
+  private final Histogram scoreCallTime =
+      registry.histogram(
+          "score_call_time_seconds",
+          "Time from sending a scoring call to its outcome",
+          BUCKET_BOUNDS_SECONDS);
+  private final Histogram scoreWaitTime =
+      registry.histogram(
+          "score_wait_time_seconds",
+          "Time from the end of a text to its score",
+          BUCKET_BOUNDS_SECONDS);
   private final Counter results =
       registry.counter("results_listed_total", "Results of items listed");
   private final Counter loadCommands =
@@ -153,6 +165,26 @@
     itemRunTime.observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
+  /**
+   * Records the outcome of a call to a scoring service.
+   *
+   * @param outcome the outcome, one of a fixed set of strings
+   * @param elapsedMs the time since the call was sent, in milliseconds
+   */
+  public void onScoreCall(String outcome, long elapsedMs) {
+    scoreCalls.labelValues(outcome).inc();
+    scoreCallTime.observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
+  }
+
+  /**
+   * Records that a text was scored.
+   *
+   * @param elapsedMs the time since the text was complete, in milliseconds
+   */
+  public void onScored(long elapsedMs) {
+    scoreWaitTime.observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
+  }
+
   /** Records listed results. */
   public void onResultsListed(int count) {
     results.inc(count);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -12,8 +12,8 @@
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
- * Creates the batch service and the forwarder of plain requests on one traffic loop. Both use the
- * same tracker of endpoint slots.
+ * Creates the batch service and the forwarder of plain requests on one traffic loop. Items, scoring
+ * calls and plain requests use the same tracker of endpoint slots.
  */
 public final class BatchComponents {
   private final BatchService batches;
@@ -24,10 +24,14 @@
     SlotPlacement placement = new SlotPlacement(tracker, builder.zone);
     BatchScheduler scheduler =
         new BatchScheduler(builder.endpoints, builder.views, tracker, placement, builder.loop);
+    ScoreScheduler scores =
+        new ScoreScheduler(
+            builder.endpoints, builder.views, tracker, placement, builder.loop, builder.metrics);
     this.batches =
         new BatchService(
             builder.store,
             scheduler,
+            scores,
             builder.loop,
             builder.nodeId,
             builder.incarnation,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
@@ -17,6 +17,7 @@
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.ItemText;
+import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.daemon.client.PartitionWrite;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 import org.sycamoretrack.daemon.process.LogEvent;
@@ -126,6 +127,14 @@
               .put("model", item.model())
               .put("group", item.group())
               .put("lengthHint", item.lengthHint());
+      item.scoreRequest()
+          .ifPresent(
+              request ->
+                  node.putObject("scorer")
+                      .put("id", request.id())
+                      .put("host", request.host())
+                      .put("path", request.path())
+                      .put("body", request.body()));
       item.headers().forEach(node.putObject("headers")::put);
     }
     return Json.toBytes(array);
@@ -182,19 +191,28 @@
           .properties()
           .forEach(header -> headers.put(header.getKey(), header.getValue().asText()));
       items.add(
-          new BatchItem(
-              items.size(),
-              node.path("id").asText(),
-              node.path("path").asText(),
-              headers,
-              bytes(node.path("body")),
-              node.path("model").asText(),
-              node.path("group").asText(),
-              node.path("lengthHint").asInt()));
+          BatchItem.builder(items.size(), node.path("id").asText(), node.path("path").asText())
+              .headers(headers)
+              .body(bytes(node.path("body")))
+              .model(node.path("model").asText())
+              .group(node.path("group").asText())
+              .lengthHint(node.path("lengthHint").asInt())
+              .scoreRequest(readScoreRequest(node.path("scorer")))
+              .build());
     }
     return items;
   }
 
+  private static ScoreRequest readScoreRequest(JsonNode node) {
+    return node.isMissingNode()
+        ? null
+        : new ScoreRequest(
+            node.path("id").asText(),
+            node.path("host").asText(),
+            node.path("path").asText(),
+            bytes(node.path("body")));
+  }
+
   private static byte[] bytes(JsonNode node) {
     try {
       return node.binaryValue() == null ? new byte[0] : node.binaryValue();
@@ -216,6 +234,9 @@
             .put("id", result.itemId())
             .put("completed", result.completed())
             .put("text", result.text());
+    if (!result.score().isEmpty()) {
+      json.put("score", result.score());
+    }
     result.versions().forEach(json.withArray("versions")::add);
     split(positionKey(position), Json.toBytes(json))
         .forEach(slice -> write.put(RESULT_TABLE, slice.key(), slice.bytes()));
@@ -252,7 +273,8 @@
               json.path("id").asText(),
               json.path("completed").asBoolean(),
               json.path("text").asText(),
-              versions(json)));
+              versions(json),
+              json.path("score").asText()));
     }
     return results;
   }
@@ -264,7 +286,11 @@
    * @param text the text generated so far
    */
   static List<Slice> textRows(int index, ItemText text) {
-    ObjectNode json = Json.object().put("last", text.lastEvent()).put("data", text.data());
+    ObjectNode json =
+        Json.object()
+            .put("last", text.lastEvent())
+            .put("data", text.data())
+            .put("complete", text.isComplete());
     text.versions().forEach(json.withArray("versions")::add);
     String key = String.format(Locale.ROOT, "%s%05d", TEXT_PREFIX, index);
     return split(key, Json.toBytes(json));
@@ -303,7 +329,12 @@
   }
 
   private static ItemText readText(JsonNode json) {
-    return new ItemText(json.path("data").asText(), json.path("last").asInt(), versions(json));
+    ItemText text =
+        new ItemText(json.path("data").asText(), json.path("last").asInt(), versions(json));
+    if (json.path("complete").asBoolean()) {
+      text.markComplete();
+    }
+    return text;
   }
 
   private static List<Integer> versions(JsonNode json) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -67,6 +67,7 @@
   private final Owner owner;
   private final PartitionedStore store;
   private final BatchScheduler scheduler;
+  private final ScoreScheduler scores;
   private final EventLoop loop;
   private final Listener listener;
   private final Map<ItemProgress, ItemRun> runs = new HashMap<>();
@@ -85,6 +86,7 @@
    * @param owner the owner row as this node wrote it
    * @param store the store, which completes its futures on the loop
    * @param scheduler assigns slots to the items
+   * @param scores sends the scoring calls
    * @param loop the traffic loop
    * @param listener receives the events of the runner
    */
@@ -93,12 +95,14 @@
       Owner owner,
       PartitionedStore store,
       BatchScheduler scheduler,
+      ScoreScheduler scores,
       EventLoop loop,
       Listener listener) {
     this.batch = batch;
     this.owner = owner;
     this.store = store;
     this.scheduler = scheduler;
+    this.scores = scores;
     this.loop = loop;
     this.listener = listener;
   }
@@ -156,13 +160,38 @@
     scheduler.requestDispatch();
   }
 
-  /** Commits the result of an item. */
-  void finish(ItemProgress item, boolean completed, String reason) {
+  /** Continues with the texts that an earlier owner completed but didn't list. */
+  void resumeCompleteTexts() {
+    for (ItemProgress item : batch.items()) {
+      if (!item.isFinished() && item.text().isComplete()) {
+        onTextComplete(item);
+      }
+    }
+  }
+
+  /** Called when the text of an item is complete. Scores it if the item has a scoring request. */
+  void onTextComplete(ItemProgress item) {
     runs.remove(item);
     if (closed) {
       return;
     }
-    if (!completed) {
+    item.text().markComplete();
+    if (item.item().scoreRequest().isPresent()) {
+      scores.add(this, item);
+      scheduler.requestDispatch();
+    } else {
+      finishScored(item, "");
+    }
+  }
+
+  /** Commits the result of an item with a complete text, with its score. */
+  void finishScored(ItemProgress item, String score) {
+    finish(item, true, score);
+  }
+
+  /** Commits the result of an item that is given up. */
+  void giveUp(ItemProgress item, String reason) {
+    if (!closed) {
       LOG.log(
           System.Logger.Level.INFO,
           LogEvent.of("item-given-up")
@@ -171,9 +200,19 @@
               .with("failures", item.failures())
               .with("reason", reason));
     }
+    finish(item, false, "");
+  }
+
+  private void finish(ItemProgress item, boolean completed, String score) {
+    runs.remove(item);
+    scores.remove(this, item);
+    if (closed) {
+      return;
+    }
     batch.finish(
         item,
-        new ItemResult(item.item().id(), completed, item.text().data(), item.text().versions()));
+        new ItemResult(
+            item.item().id(), completed, item.text().data(), item.text().versions(), score));
     commit();
     scheduler.requestDispatch();
   }
@@ -187,7 +226,7 @@
     if (maxQueueMs > 0 && System.currentTimeMillis() - submission.acceptedAtMs() > maxQueueMs) {
       for (ItemProgress item : batch.items()) {
         if (!item.isFinished() && !item.isRunning()) {
-          finish(item, false, "queue time exceeds the maximum of the route");
+          giveUp(item, "queue time exceeds the maximum of the route");
         }
       }
     }
@@ -203,8 +242,8 @@
       return;
     }
     List<ItemProgress> unsaved =
-        runs.keySet().stream()
-            .filter(item -> item.text().lastEvent() - savedEvents(item) >= MIN_UNSAVED_EVENTS)
+        batch.items().stream()
+            .filter(item -> isWorthSaving(item, nowMs))
             .sorted(Comparator.comparingInt(item -> -item.text().lastEvent()))
             .toList();
     List<BatchRowCodec.Slice> slices = new ArrayList<>();
@@ -232,6 +271,14 @@
                 }));
   }
 
+  /** Complete texts are saved when their score is overdue, as nothing else may be left to do. */
+  private boolean isWorthSaving(ItemProgress item, long nowMs) {
+    int unsavedEvents = item.text().lastEvent() - savedEvents(item);
+    return item.scoring()
+        .map(progress -> progress.elapsedMs(nowMs) >= TEXT_SAVE_INTERVAL_MS && unsavedEvents > 0)
+        .orElse(item.isRunning() && unsavedEvents >= MIN_UNSAVED_EVENTS);
+  }
+
   private int savedEvents(ItemProgress item) {
     return savedEvents.getOrDefault(item, 0);
   }
@@ -383,6 +430,7 @@
     List.copyOf(runs.values()).forEach(ItemRun::cancel);
     runs.clear();
     scheduler.remove(this);
+    scores.remove(this);
     listener.onClosed(this, change);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -60,6 +60,7 @@
 
   private final PartitionedStore store;
   private final BatchScheduler scheduler;
+  private final ScoreScheduler scores;
   private final EventLoop loop;
   private final String nodeId;
   private final String incarnation;
@@ -74,6 +75,7 @@
    *
    * @param store the store, which completes its futures on the loop
    * @param scheduler assigns slots to items
+   * @param scores sends the scoring calls of items
    * @param loop the traffic loop
    * @param nodeId the id of this node
    * @param incarnation the id of the current run of the node's process
@@ -82,12 +84,14 @@
   BatchService(
       PartitionedStore store,
       BatchScheduler scheduler,
+      ScoreScheduler scores,
       EventLoop loop,
       String nodeId,
       String incarnation,
       StoreBackedNodeMetrics metrics) {
     this.store = store;
     this.scheduler = scheduler;
+    this.scores = scores;
     this.loop = loop;
     this.nodeId = nodeId;
     this.incarnation = incarnation;
@@ -219,8 +223,9 @@
 
   private void run(OpenBatch openBatch, Owner owner, OwnerChange change) {
     String batchId = owner.batchId();
-    BatchRunner runner = new BatchRunner(openBatch, owner, store, scheduler, loop, this);
+    BatchRunner runner = new BatchRunner(openBatch, owner, store, scheduler, scores, loop, this);
     runners.put(batchId, runner);
+    runner.resumeCompleteTexts();
     scheduler.add(runner);
     metrics.onOwnerChange(change);
   }
@@ -353,6 +358,7 @@
           .put("items", batch.items().size())
           .put("listed", batch.listed())
           .put("running", runner.runs().size())
+          .put("scoring", batch.scoringCount())
           .put("waiting", batch.waitingCount(nowMs))
           .put("mayStartRuns", runner.mayDispatch());
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -172,7 +172,7 @@
     tracker.onEnded(endpoint.id());
     if (end == EndpointClient.RunEnd.COMPLETE && cancelReason == null) {
       tracker.onFinished(endpoint.id());
-      runner.finish(item, true, reason);
+      runner.onTextComplete(item);
       return;
     }
     String endReason = cancelReason == null ? reason : cancelReason;
@@ -212,7 +212,7 @@
     item.onEnded(failed, progressed, nowMs + (refused ? 0 : RETRY_DELAY_MS * factor));
     if (end == EndpointClient.RunEnd.IMPOSSIBLE
         || item.failures() >= runner.batch().submission().routeSettings().attempts()) {
-      runner.finish(item, false, reason);
+      runner.giveUp(item, reason);
     } else {
       runner.onRunEnded(item);
     }
