Relay store calls through peers of other zones and past those that can't reach the store

Change: RelayPeers selects peers of different zones, leaves out one that can't reach the store, and replaces it at most twice a second; a call that a peer has not executed goes to the next one, and waits 200 ms for a connection. Ruled out: the scoring calls, which were served meanwhile; dialling all peers, which costs 90 x 90 connections when the store is down for all.

--- /dev/null
+++ b/core/src/test/java/org/sycamoretrack/core/process/RelayPeersTest.java
@@ -0,0 +1,100 @@
+package org.sycamoretrack.core.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests of {@link RelayPeers}. */
+class RelayPeersTest {
+  private static final int MAX_PEERS = 3;
+
+  private final RelayPeers peers = new RelayPeers("a", MAX_PEERS);
+
+  private static List<RelayPeers.Peer> peers(String... ids) {
+    List<RelayPeers.Peer> list = new ArrayList<>();
+    for (String id : ids) {
+      list.add(new RelayPeers.Peer(id, id.substring(0, 1), "address of " + id));
+    }
+    return list;
+  }
+
+  private List<String> selected(long nowMs) {
+    return peers.select(nowMs).stream().map(RelayPeers.Peer::nodeId).toList();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "a1 a2 b1 b2 c1, a1 b1 c1",
+    "c1 b2 b1 a2, a2 b2 c1",
+    "a1 a2 a3 a4, a1 a2 a3",
+    "b1 b2, b1 b2",
+    "b1 c1 d1 e1, b1 c1 d1"
+  })
+  void selectsPeersOfDifferentZones(String candidates, String expected) {
+    peers.update(peers(candidates.split(" ")));
+
+    assertThat(selected(0)).containsExactly(expected.split(" "));
+  }
+
+  @Test
+  void replacesAPeerThatCannotReachTheServiceAndTriesItAgainLater() {
+    peers.update(peers("a1", "a2", "b1", "b2", "c1"));
+    assertThat(selected(0)).containsExactly("a1", "b1", "c1");
+
+    peers.onUnavailable("b1", 0);
+
+    assertThat(selected(1)).containsExactly("a1", "c1", "a2");
+    peers.onUnavailable("a1", 100);
+    assertThat(selected(101)).as("one replacement in 500 ms").containsExactly("c1", "a2");
+    assertThat(selected(501)).containsExactly("c1", "a2", "b2");
+    peers.onUnavailable("b2", 600);
+    assertThat(selected(3_001)).as("b1 is due again").containsExactly("b1", "c1", "a2");
+  }
+
+  /** All nodes of the own zone and some of the others have lost the service. */
+  @ParameterizedTest
+  @ValueSource(ints = {11, 90})
+  void findsAPeerThatReachesTheService(int nodes) {
+    String[] ids = new String[nodes];
+    for (int i = 0; i < nodes; i++) {
+      ids[i] = "abc".charAt(i % 3) + "-" + i;
+    }
+    peers.update(peers(ids));
+    long nowMs = 0;
+    while (selected(nowMs).stream().noneMatch(id -> id.equals("c-" + (nodes / 3 * 3 - 1)))) {
+      for (String id : selected(nowMs)) {
+        peers.onUnavailable(id, nowMs);
+      }
+      nowMs += 100;
+      assertThat(nowMs).isLessThan(60_000);
+    }
+  }
+
+  @Test
+  void dialsFewPeersWhileTheServiceIsDownForAll() {
+    String[] ids = new String[90];
+    for (int i = 0; i < ids.length; i++) {
+      ids[i] = "abc".charAt(i % 3) + "-" + i;
+    }
+    peers.update(peers(ids));
+    int dialled = 0;
+    Set<String> before = new HashSet<>();
+    for (long nowMs = 0; nowMs < 10_000; nowMs += 100) {
+      Set<String> now = new HashSet<>(selected(nowMs));
+      for (String id : now) {
+        dialled += before.contains(id) ? 0 : 1;
+        peers.onUnavailable(id, nowMs);
+      }
+      before = now;
+    }
+
+    assertThat(dialled).isLessThanOrEqualTo(MAX_PEERS + 20);
+  }
+}
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +14,7 @@
 import java.util.concurrent.TimeoutException;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
+import org.sycamoretrack.core.process.RelayPeers;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -65,6 +65,9 @@
   /** Number of nodes that compete for the order lease, enough to survive the loss of one zone. */
   private static final int ORDER_LEASE_CANDIDATES = 3;
 
+  /** One in each zone of a deployment of three zones. */
+  private static final int MAX_RELAY_PEERS = 3;
+
   /**
    * New caller connections still arrive for some seconds after the node reports that it isn't
    * ready.
@@ -89,6 +92,7 @@
   private final EventLoop trafficLoop = trafficGroup.next();
   private final PathSwitch path = new PathSwitch(PROBE_INTERVAL_MS);
   private final PeerLink link;
+  private final RelayPeers relayPeers;
   private final StoreRelay relay;
   private final DeploymentWatch watch;
   private final NodeRegistry registry;
@@ -106,7 +110,8 @@
     this.settings = settings;
     PartitionedStore directStore = new MeteredStore(adapter.store(controlGroup), metrics);
     this.link = startLink(settings);
-    this.relay = new StoreRelay(link, directStore, path, controlLoop);
+    this.relayPeers = new RelayPeers(settings.zone(), MAX_RELAY_PEERS);
+    this.relay = new StoreRelay(link, directStore, path, relayPeers, controlLoop);
     PartitionedStore controlStore = new RelayedStore(directStore, relay, path, controlLoop);
     PartitionedStore trafficStore =
         new RelayedStore(
@@ -204,17 +209,12 @@
         .start();
   }
 
-  /**
-   * Prefers nodes of the own zone as relays to the store, since they remain reachable when the zone
-   * is partitioned from the other zones.
-   */
   private void onNodesChanged() {
     watch.setNodeCount(registry.liveNodes().size());
-    relay.setPeers(
+    relayPeers.update(
         registry.liveNodes().stream()
             .filter(node -> !node.nodeId().equals(settings.nodeId()) && !node.leaving())
-            .sorted(Comparator.comparing(node -> !node.zone().equals(settings.zone())))
-            .map(NodeRecord::peerAddress)
+            .map(node -> new RelayPeers.Peer(node.nodeId(), node.zone(), node.peerAddress()))
             .toList());
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -12,7 +14,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
+import org.sycamoretrack.core.process.RelayPeers;
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.daemon.client.Failures;
@@ -30,14 +34,17 @@
  * Relays store calls between peers, in both roles: executes calls for a peer that can't reach the
  * store, and sends calls to a peer when this node can't.
  *
- * <p>Peers are dialled only while the store can't be reached, at most {@value #MAX_PEERS} of them
- * and those of the own zone first, so that no connections are open in normal operation. A peer that
- * can't reach the store replies with an error at once, and the next call goes to the next peer.
+ * <p>Peers are dialled only while the store can't be reached, so that no connections are open in
+ * normal operation; {@link RelayPeers} selects them. A peer that can't reach the store replies with
+ * an error at once, and the call goes to the next peer.
  *
  * <p>Thread-safe.
  */
 final class StoreRelay {
-  private static final int MAX_PEERS = 3;
+  /** A connection in both directions takes a few round trips. */
+  private static final long CONNECT_WAIT_MS = 40;
+
+  private static final int MAX_CONNECT_WAITS = 5;
 
   /** The store call that the peer makes takes up to 1.5 s. */
   private static final long CALL_TIMEOUT_MS = 1_800;
@@ -54,11 +61,10 @@
   private final PartitionedStore store;
   private final PathSwitch path;
   private final EventLoop loop;
-  private final Map<Long, CompletableFuture<Reply>> pendingReplies = new ConcurrentHashMap<>();
-  private final Set<InetSocketAddress> dialled = ConcurrentHashMap.newKeySet();
+  private final Map<Long, PendingCall> pendingCalls = new ConcurrentHashMap<>();
+  private final RelayPeers peers;
+  private final Map<String, InetSocketAddress> dialled = new ConcurrentHashMap<>();
   private final AtomicLong lastCallId = new AtomicLong();
-  private final AtomicLong peerRotation = new AtomicLong();
-  private volatile List<InetSocketAddress> peers = List.of();
 
   /**
    * Creates a relay.
@@ -66,34 +72,51 @@
    * @param link the connections to peers
    * @param store the store that is called directly on behalf of peers
    * @param path tracks whether the direct path works
+   * @param peers selects the peers
    * @param loop runs the timeouts
    */
-  StoreRelay(PeerLink link, PartitionedStore store, PathSwitch path, EventLoop loop) {
+  StoreRelay(
+      PeerLink link, PartitionedStore store, PathSwitch path, RelayPeers peers, EventLoop loop) {
     this.link = link;
     this.store = store;
     this.path = path;
+    this.peers = peers;
     this.loop = loop;
     link.onMessage(Call.TYPE, Call::read, this::onCall);
     link.onMessage(Reply.TYPE, Reply::read, (from, reply) -> onReply(reply));
     link.onInboundConnected(peer -> link.dial(Addresses.parse(peer.address())));
   }
 
-  /**
-   * Sets the peers that may relay calls.
-   *
-   * @param addresses the addresses of the peers, in order of preference
-   */
-  void setPeers(List<String> addresses) {
-    peers = addresses.stream().limit(MAX_PEERS).map(Addresses::parse).toList();
+  /** A call that is being relayed, and the peers that it was sent to. */
+  private static final class PendingCall {
+    private final LongFunction<Call> call;
+    private final CompletableFuture<Reply> reply = new CompletableFuture<>();
+    private final Set<String> tried = ConcurrentHashMap.newKeySet();
+    private volatile String peer;
+
+    private PendingCall(LongFunction<Call> call) {
+      this.call = call;
+    }
   }
 
-  /** Connects to the peers, so that they can relay calls. */
+  /** Connects to the selected peers, and closes the connections to others. */
   void connectPeers() {
-    for (InetSocketAddress peer : peers) {
-      if (dialled.add(peer)) {
-        link.dial(peer);
-      }
+    Map<String, InetSocketAddress> selected = new HashMap<>();
+    for (RelayPeers.Peer peer : peers.select(MonotonicClock.nowMs())) {
+      selected.put(peer.nodeId(), Addresses.parse(peer.address()));
     }
+    dialled.forEach(
+        (nodeId, address) -> {
+          if (!address.equals(selected.get(nodeId)) && dialled.remove(nodeId, address)) {
+            link.stopDialling(address);
+          }
+        });
+    selected.forEach(
+        (nodeId, address) -> {
+          if (dialled.putIfAbsent(nodeId, address) == null) {
+            link.dial(address);
+          }
+        });
   }
 
   /** Closes the connections to peers after a delay, unless they are needed again by then. */
@@ -101,7 +124,8 @@
     loop.schedule(
         () -> {
           if (path.isDirect()) {
-            dialled.forEach(link::stopDialling);
+            peers.reset();
+            dialled.values().forEach(link::stopDialling);
             dialled.clear();
           }
         },
@@ -110,52 +134,74 @@
   }
 
   /**
-   * Sends a call to a peer.
+   * Sends a call to a peer, and to further peers while they report that they haven't executed it.
    *
    * @param call creates the call with a given id
-   * @return the reply; fails with {@code NOT_RUN} if the call couldn't be sent to a peer
+   * @return the reply; fails with {@code NOT_RUN} if no peer has executed the call
    */
   CompletionStage<Reply> send(LongFunction<Call> call) {
+    PendingCall pending = new PendingCall(call);
+    sendToNextPeer(pending, "no peer is connected", MAX_CONNECT_WAITS);
+    return pending.reply;
+  }
+
+  private void sendToNextPeer(PendingCall pending, String lastReason, int waitsLeft) {
     connectPeers();
-    long id = lastCallId.incrementAndGet();
-    CompletableFuture<Reply> reply = new CompletableFuture<>();
-    List<String> ready =
-        link.connectedPeers().stream().filter(link::isConnectedBothWays).sorted().toList();
-    if (ready.isEmpty()) {
-      return CompletableFuture.failedFuture(
-          failure(ExecutionOutcome.NOT_RUN, "no peer is connected"));
+    List<String> untried =
+        peers.select(MonotonicClock.nowMs()).stream()
+            .map(RelayPeers.Peer::nodeId)
+            .filter(id -> !pending.tried.contains(id))
+            .toList();
+    Optional<String> peer = untried.stream().filter(link::isConnectedBothWays).findFirst();
+    if (peer.isEmpty()) {
+      if (!untried.isEmpty() && waitsLeft > 0) {
+        loop.schedule(
+            () -> sendToNextPeer(pending, lastReason, waitsLeft - 1),
+            CONNECT_WAIT_MS,
+            TimeUnit.MILLISECONDS);
+        return;
+      }
+      pending.reply.completeExceptionally(failure(ExecutionOutcome.NOT_RUN, lastReason));
+      return;
     }
-    String peer = ready.get((int) (peerRotation.get() % ready.size()));
-    pendingReplies.put(id, reply);
-    if (!link.send(peer, call.apply(id))) {
-      pendingReplies.remove(id);
-      peerRotation.incrementAndGet();
-      return CompletableFuture.failedFuture(
-          failure(ExecutionOutcome.NOT_RUN, "the call could not be sent to the peer"));
+    pending.peer = peer.get();
+    pending.tried.add(pending.peer);
+    long id = lastCallId.incrementAndGet();
+    pendingCalls.put(id, pending);
+    if (link.send(pending.peer, pending.call.apply(id))) {
+      loop.schedule(() -> onTimeout(id), CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } else if (pendingCalls.remove(id) != null) {
+      onPeerFailed(pending, "the call could not be sent to the peer");
     }
-    loop.schedule(() -> onTimeout(id), CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-    return reply;
+  }
+
+  private void onPeerFailed(PendingCall pending, String reason) {
+    peers.onUnavailable(pending.peer, MonotonicClock.nowMs());
+    sendToNextPeer(pending, reason, MAX_CONNECT_WAITS);
   }
 
   private void onTimeout(long id) {
-    CompletableFuture<Reply> reply = pendingReplies.remove(id);
-    if (reply != null) {
-      peerRotation.incrementAndGet();
-      reply.completeExceptionally(
+    PendingCall pending = pendingCalls.remove(id);
+    if (pending != null) {
+      peers.onUnavailable(pending.peer, MonotonicClock.nowMs());
+      pending.reply.completeExceptionally(
           failure(ExecutionOutcome.UNKNOWN, "the peer did not reply in time"));
     }
   }
 
   private void onReply(Reply reply) {
-    CompletableFuture<Reply> expected = pendingReplies.remove(reply.id());
-    if (expected == null) {
+    PendingCall pending = pendingCalls.remove(reply.id());
+    if (pending == null) {
       return;
     }
-    if (reply.result() == Result.FAILED) {
-      peerRotation.incrementAndGet();
-      expected.completeExceptionally(failure(reply.outcome(), reply.message()));
+    if (reply.result() != Result.FAILED) {
+      peers.onAvailable(pending.peer);
+      pending.reply.complete(reply);
+    } else if (reply.outcome() == ExecutionOutcome.NOT_RUN) {
+      onPeerFailed(pending, reply.message());
     } else {
-      expected.complete(reply);
+      peers.onUnavailable(pending.peer, MonotonicClock.nowMs());
+      pending.reply.completeExceptionally(failure(reply.outcome(), reply.message()));
     }
   }
 
