Score the samples of the product's own steps by the same rules as batch items

Cause: StepRunner repeated a failing scorer every 500 ms for ever, with a time limit of 30 s, so that a text for which the scorer always reports an error held its slot and its step. Change: Scorer returns a ScoreOutcome, and ScoreProgress decides for both kinds of work. After six reported errors a sample is delivered with a null score and a log line.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/HttpScorer.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/HttpScorer.java
@@ -7,19 +7,20 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.sycamoretrack.core.process.ErrorCode;
-import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.core.request.Sample;
 import org.sycamoretrack.core.request.StepSpec;
+import org.sycamoretrack.core.request.scoring.ScoreOutcome;
 import org.sycamoretrack.core.version.Configuration;
 import org.sycamoretrack.core.version.ResourceSpec;
+import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpResponse;
 
 /** Scores samples through calls to a plain service. Thread-safe. */
 final class HttpScorer implements Scorer {
-  private static final int TIMEOUT_MS = 30_000;
+  private static final int OK = 200;
+  private static final int SERVER_ERROR = 500;
 
   private final ServiceCaller caller;
   private final Supplier<Configuration> configuration;
@@ -30,12 +31,11 @@
   }
 
   @Override
-  public CompletionStage<Double> score(String service, StepSpec spec, Sample sample) {
+  public CompletionStage<ScoreOutcome> score(
+      String service, StepSpec spec, Sample sample, long timeoutMs) {
     ResourceSpec.ServiceSpec serviceSpec = configuration.get().services().get(service);
     if (serviceSpec == null) {
-      return CompletableFuture.failedFuture(
-          new SycamoreException(
-              ErrorCode.NOT_FOUND, ExecutionOutcome.NOT_RUN, "no service " + service));
+      return CompletableFuture.completedFuture(new ScoreOutcome.NotRun("no service " + service));
     }
     ObjectNode body =
         Json.object()
@@ -53,24 +53,33 @@
             Map.of("content-type", "application/json"),
             Json.toBytes(body),
             true,
-            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS));
-    return caller.call(call).thenApply(HttpScorer::parse);
+            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs));
+    return caller.call(call).handle(HttpScorer::toOutcome);
   }
 
-  private static Double parse(HttpResponse response) {
-    if (response.status() != 200) {
-      throw new SycamoreException(
-          ErrorCode.ENDPOINT_FAILED,
-          ExecutionOutcome.RAN,
-          "the scorer responded with HTTP status " + response.status());
+  private static ScoreOutcome toOutcome(HttpResponse response, Throwable failure) {
+    if (failure != null) {
+      String reason = String.valueOf(Failures.unwrap(failure).getMessage());
+      return Failures.outcome(failure) == ExecutionOutcome.NOT_RUN
+          ? new ScoreOutcome.NotRun(reason)
+          : new ScoreOutcome.Lost(reason);
     }
-    JsonNode score = response.json().path("score");
-    if (!score.isNumber()) {
-      throw new SycamoreException(
-          ErrorCode.ENDPOINT_FAILED,
-          ExecutionOutcome.RAN,
-          "the scorer's response has no numeric field score");
+    String reason = "the scorer responded with HTTP status " + response.status();
+    return switch (response.status()) {
+      case OK -> toScore(response);
+      case SERVER_ERROR -> new ScoreOutcome.Failed(reason);
+      default -> new ScoreOutcome.Lost(reason);
+    };
+  }
+
+  private static ScoreOutcome toScore(HttpResponse response) {
+    try {
+      JsonNode score = response.json().path("score");
+      return score.isNumber()
+          ? new ScoreOutcome.Scored(score.asText())
+          : new ScoreOutcome.Lost("the scorer's response has no numeric field score");
+    } catch (IllegalArgumentException e) {
+      return new ScoreOutcome.Lost("the scorer's response is not JSON: " + e.getMessage());
     }
-    return score.doubleValue();
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -13,10 +13,14 @@
 import org.sycamoretrack.core.connection.EjectionState;
 import org.sycamoretrack.core.connection.EndpointView;
 import org.sycamoretrack.core.process.ErrorCode;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.core.request.Sample;
 import org.sycamoretrack.core.request.StepSpec;
 import org.sycamoretrack.core.request.StepState;
+import org.sycamoretrack.core.request.scoring.ScoreDecision;
+import org.sycamoretrack.core.request.scoring.ScoreOutcome;
+import org.sycamoretrack.core.request.scoring.ScoreProgress;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpExchange;
@@ -43,7 +47,10 @@
   private static final int TICK_INTERVAL_MS = 200;
   private static final int RETRY_DELAY_MS = 200;
   private static final int QUARANTINE_RETRY_DELAY_MS = 30_000;
-  private static final int SCORE_RETRY_DELAY_MS = 500;
+
+  /** The number of errors of the scorer after which a sample is delivered without a score. */
+  private static final int MAX_SCORE_FAILURES = 6;
+
   private static final long SAMPLE_TIMEOUT_MINUTES = 30;
   private static final int WINDOW_MARGIN = 8;
 
@@ -235,7 +242,7 @@
 
   /** Called when the sample of a slot is finished. Scores it if the track has a scorer. */
   void onSlotFinished(SlotRun run, Sample sample) {
-    if (closed || running.get(run.slot()) != run) {
+    if (isSuperseded(run)) {
       return;
     }
     generatedTokens += sample.tokens();
@@ -248,41 +255,57 @@
     } else if (trackSettings.scorer() == null) {
       accept(run, sample);
     } else {
-      score(run, sample);
+      score(run, sample, new ScoreProgress(MonotonicClock.nowMs()));
     }
   }
 
-  private void score(SlotRun run, Sample sample) {
+  private void score(SlotRun run, Sample sample, ScoreProgress progress) {
+    progress.onSent();
     services
         .scorer()
-        .score(trackSettings.scorer(), spec, sample)
-        .whenComplete(
-            (score, failure) -> loop.execute(() -> onScored(run, sample, score, failure)));
+        .score(trackSettings.scorer(), spec, sample, progress.timeoutMs())
+        .thenAccept(outcome -> loop.execute(() -> onScored(run, sample, progress, outcome)));
   }
 
-  private void onScored(SlotRun run, Sample sample, Double score, Throwable failure) {
-    if (closed || running.get(run.slot()) != run) {
+  private void onScored(SlotRun run, Sample sample, ScoreProgress progress, ScoreOutcome outcome) {
+    if (isSuperseded(run)) {
       return;
     }
-    if (failure == null) {
-      accept(run, sample.withScore(score));
-      return;
+    long nowMs = MonotonicClock.nowMs();
+    switch (progress.onOutcome(outcome, MAX_SCORE_FAILURES, nowMs)) {
+      case ScoreDecision.Accept accept ->
+          accept(run, sample.withScore(Double.valueOf(accept.score())));
+      case ScoreDecision.Retry retry -> {
+        logScoring("scoring-failed", sample, retry.reason());
+        loop.schedule(
+            () -> {
+              if (!isSuperseded(run)) {
+                score(run, sample, progress);
+              }
+            },
+            retry.atMs() - nowMs,
+            TimeUnit.MILLISECONDS);
+      }
+      case ScoreDecision.Abandon abandon -> {
+        logScoring("scoring-abandoned", sample, abandon.reason());
+        accept(run, sample);
+      }
     }
+  }
+
+  /** Returns whether the step is closed or another run has taken the slot of a run. */
+  private boolean isSuperseded(SlotRun run) {
+    return closed || running.get(run.slot()) != run;
+  }
+
+  private void logScoring(String event, Sample sample, String reason) {
     LOG.log(
         System.Logger.Level.WARNING,
-        LogEvent.of("scoring-failed")
+        LogEvent.of(event)
             .with("track", spec.id().track())
             .with("step", spec.id().step())
             .with("slot", sample.slot())
-            .with("reason", ErrorResponses.toError(failure).getMessage()));
-    loop.schedule(
-        () -> {
-          if (!closed && running.get(run.slot()) == run) {
-            score(run, sample);
-          }
-        },
-        SCORE_RETRY_DELAY_MS,
-        TimeUnit.MILLISECONDS);
+            .with("reason", reason));
   }
 
   private void accept(SlotRun run, Sample sample) {
@@ -303,7 +326,7 @@
 
   /** Called when generation of a slot has failed. Schedules a retry. */
   void onSlotFailed(SlotRun run, GenerationFailure failure) {
-    if (closed || running.get(run.slot()) != run) {
+    if (isSuperseded(run)) {
       return;
     }
     running.remove(run.slot());
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/StepRunnerTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/StepRunnerTest.java
@@ -12,10 +12,12 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sycamoretrack.core.request.GroupSpec;
 import org.sycamoretrack.core.request.Sample;
@@ -23,6 +25,7 @@
 import org.sycamoretrack.core.request.StepId;
 import org.sycamoretrack.core.request.StepSpec;
 import org.sycamoretrack.core.request.VersionSpan;
+import org.sycamoretrack.core.request.scoring.ScoreOutcome;
 import org.sycamoretrack.standins.process.EngineSettings;
 import org.sycamoretrack.standins.request.SimulatedCompletion;
 import org.sycamoretrack.transport.process.Json;
@@ -41,11 +44,11 @@
           200,
           List.of(new GroupSpec("a", 24, 1), new GroupSpec("b", 24, 2)));
 
-  private static StepServices services(EngineFixture fixture) {
-    TrackSettings settings = new TrackSettings(List.of(EngineFixture.POOL), 1, null);
+  private static StepServices services(
+      EngineFixture fixture, TrackSettings settings, Scorer scorer) {
     return new StepServices(
         fixture.dispatcher,
-        (service, spec, sample) -> CompletableFuture.completedFuture(0.5),
+        scorer,
         SampleSink.NONE,
         fixture::routes,
         track -> Optional.of(settings),
@@ -54,12 +57,19 @@
   }
 
   private static StepRunner start(EngineFixture fixture, List<Sample> restored) {
+    return start(
+        fixture,
+        restored,
+        null,
+        (service, spec, sample, timeoutMs) ->
+            CompletableFuture.completedFuture(new ScoreOutcome.NotRun("no scorer is set")));
+  }
+
+  private static StepRunner start(
+      EngineFixture fixture, List<Sample> restored, String scorerName, Scorer scorer) {
+    TrackSettings settings = new TrackSettings(List.of(EngineFixture.POOL), 1, scorerName);
     StepRunner runner =
-        new StepRunner(
-            SPEC,
-            new TrackSettings(List.of(EngineFixture.POOL), 1, null),
-            services(fixture),
-            fixture.loops.next());
+        new StepRunner(SPEC, settings, services(fixture, settings, scorer), fixture.loops.next());
     runner.loop().execute(() -> runner.start(restored));
     return runner;
   }
@@ -128,6 +138,43 @@
     }
   }
 
+  /** S: scored, F: the service failed, N: not run, L: lost; the last outcome is repeated. */
+  @ParameterizedTest
+  @CsvSource({"S, 0.5", "NLFS, 0.5", "LLS, 0.5", "F,"})
+  void samplesAreDeliveredWithTheirScoreOrAfterRepeatedErrorsWithoutOne(
+      String outcomes, Double score) throws Exception {
+    Map<Integer, Integer> calls = new ConcurrentHashMap<>();
+    Scorer scorer =
+        (service, spec, sample, timeoutMs) -> {
+          int call = calls.merge(sample.slot(), 1, Integer::sum);
+          char code = outcomes.charAt(Math.min(call, outcomes.length()) - 1);
+          return CompletableFuture.completedFuture(
+              switch (code) {
+                case 'S' -> new ScoreOutcome.Scored("0.5");
+                case 'F' -> new ScoreOutcome.Failed("status 500");
+                case 'N' -> new ScoreOutcome.NotRun("full");
+                default -> new ScoreOutcome.Lost("reset");
+              });
+        };
+    try (EngineFixture fixture = new EngineFixture(2, EngineSettings.builder().tokens(100, 8))) {
+      StepRunner runner = start(fixture, List.of(), "scoring", scorer);
+      SlotBitmap received = SlotBitmap.empty();
+      boolean complete = false;
+      while (!complete) {
+        JsonNode body = poll(runner, received, 7).get(10, TimeUnit.SECONDS).json();
+        for (JsonNode sample : body.path("samples")) {
+          received = received.with(sample.path("slot").asInt());
+          JsonNode delivered = sample.path("score");
+          assertThat(delivered.isNull() ? null : Double.valueOf(delivered.asDouble()))
+              .isEqualTo(score);
+        }
+        complete = body.path("complete").asBoolean();
+      }
+      assertThat(calls).hasSize(SPEC.slots());
+      runner.loop().submit(runner::close).sync();
+    }
+  }
+
   @Test
   void restoredSamplesAreNotGeneratedAgain() throws Exception {
     try (EngineFixture fixture = new EngineFixture(1, EngineSettings.builder().tokens(200, 8))) {
