Ask for no new connections while a node reaches neither the store nor another zone

Change: ZoneIsolation decides from the store's path and from peers of other zones that were heard; a store that is down for all is no evidence, since peers then still answer. The node goes on serving the connections that it has. Ruled out: counting only connected peers, as a first trial did: peers that had answered that they can't reach the store were dropped and all nodes counted as isolated for 0.2 to 0.4 s when the store fell silent.

--- a/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
@@ -28,12 +28,16 @@
   private static final long UNAVAILABLE_MS = 3_000;
   private static final long REPLACEMENT_INTERVAL_MS = 500;
 
+  /** Longer than the interval between two replacements of peers that were heard once. */
+  private static final long HEARD_VALID_MS = 1_500;
+
   private final String zone;
   private final int maxPeers;
   private final Map<String, Long> unavailableUntilMs = new HashMap<>();
   private final Set<String> selected = new HashSet<>();
   private List<Peer> candidates = List.of();
   private long nextReplacementMs;
+  private long otherZoneHeardAtMs = Long.MIN_VALUE / 2;
 
   /**
    * A peer.
@@ -87,6 +91,36 @@
     return ordered;
   }
 
+  /** Returns whether any peer is in another zone. */
+  public synchronized boolean hasOtherZones() {
+    return candidates.stream().anyMatch(this::isInOtherZone);
+  }
+
+  private boolean isInOtherZone(Peer peer) {
+    return !peer.zone().equals(zone);
+  }
+
+  /**
+   * Records that a peer is reachable, whether or not it reaches the service.
+   *
+   * @param nodeId the peer
+   * @param nowMs the current time
+   */
+  public synchronized void onHeard(String nodeId, long nowMs) {
+    if (candidates.stream().anyMatch(peer -> peer.nodeId().equals(nodeId) && isInOtherZone(peer))) {
+      otherZoneHeardAtMs = nowMs;
+    }
+  }
+
+  /**
+   * Returns whether a peer of another zone was heard from within {@value #HEARD_VALID_MS} ms.
+   *
+   * @param nowMs the current time
+   */
+  public synchronized boolean isOtherZoneHeard(long nowMs) {
+    return nowMs - otherZoneHeardAtMs < HEARD_VALID_MS;
+  }
+
   /**
    * Returns the selected peers in the order of preference.
    *
--- a/core/src/test/java/org/sycamoretrack/core/process/RelayPeersTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/RelayPeersTest.java
@@ -58,6 +58,17 @@
     assertThat(selected(3_001)).as("b1 is due again").containsExactly("b1", "c1", "a2");
   }
 
+  @ParameterizedTest
+  @CsvSource({"b1, 0, true", "b1, 1499, true", "b1, 1500, false", "a1, 0, false", "x1, 0, false"})
+  void knowsWhetherAnotherZoneIsReachable(String heard, long agoMs, boolean reachable) {
+    peers.update(peers("a1", "b1"));
+    peers.onHeard(heard, 1_000);
+    peers.onUnavailable(heard, 1_000);
+
+    assertThat(peers.hasOtherZones()).isTrue();
+    assertThat(peers.isOtherZoneHeard(1_000 + agoMs)).isEqualTo(reachable);
+  }
+
   /** All nodes of the own zone and some of the others have lost the service. */
   @ParameterizedTest
   @ValueSource(ints = {11, 90})
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -15,6 +15,7 @@
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.RelayPeers;
+import org.sycamoretrack.core.process.ZoneIsolation;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -104,6 +105,8 @@
   private final HttpServer readinessServer;
   private final HttpServer inspectionServer;
   private final StoreBackedNodeMetrics metrics = new StoreBackedNodeMetrics();
+  private final ZoneIsolation isolation = new ZoneIsolation();
+  private volatile boolean isolated;
   private volatile boolean stopping;
 
   private StoreBackedNode(StoreBackedNodeSettings settings, PlatformAdapter adapter) {
@@ -230,7 +233,22 @@
     components.batches().onOwners(view.owners(), watch.ownersAgeMs(), maxAgeMs);
   }
 
+  private void updateIsolation() {
+    boolean changed =
+        isolation.update(
+            path.isDirect(),
+            relayPeers.hasOtherZones(),
+            relay.isOtherZoneReachable(),
+            MonotonicClock.nowMs());
+    isolated = isolation.isIsolated();
+    if (changed) {
+      LOG.log(
+          System.Logger.Level.WARNING, LogEvent.of("zone-isolation").with("isolated", isolated));
+    }
+  }
+
   private void tick() {
+    updateIsolation();
     if (!watch.isComplete()) {
       return;
     }
@@ -346,7 +364,7 @@
 
   @Override
   public boolean isReady() {
-    return !stopping && watch.isComplete() && registry.isRegistered();
+    return !stopping && !isolated && watch.isComplete() && registry.isRegistered();
   }
 
   @Override
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
@@ -119,6 +119,18 @@
         });
   }
 
+  /**
+   * Returns whether a peer of another zone is reachable. Peers are connected only while the store
+   * can't be reached, so this is known only then.
+   */
+  boolean isOtherZoneReachable() {
+    long nowMs = MonotonicClock.nowMs();
+    dialled.keySet().stream()
+        .filter(link::isConnectedBothWays)
+        .forEach(nodeId -> peers.onHeard(nodeId, nowMs));
+    return peers.isOtherZoneHeard(nowMs);
+  }
+
   /** Closes the connections to peers after a delay, unless they are needed again by then. */
   void schedulePeerDisconnect() {
     loop.schedule(
@@ -194,6 +206,7 @@
     if (pending == null) {
       return;
     }
+    peers.onHeard(pending.peer, MonotonicClock.nowMs());
     if (reply.result() != Result.FAILED) {
       peers.onAvailable(pending.peer);
       pending.reply.complete(reply);
