--- a/core/src/main/java/org/sycamoretrack/core/version/routing/Manifest.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/routing/Manifest.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -60,6 +61,16 @@
     return routesByHost.values().stream().flatMap(byPrefix -> byPrefix.values().stream()).toList();
   }
 
+  /**
+   * Returns the host name of a Host header, in lower case and without a port.
+   *
+   * @param hostHeader the value of the header
+   */
+  public static String hostName(String hostHeader) {
+    int colon = hostHeader.indexOf(':');
+    return (colon < 0 ? hostHeader : hostHeader.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+
   /**
    * Returns the route that a request matches.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -180,12 +180,12 @@
       scores.add(this, item);
       scheduler.requestDispatch();
     } else {
-      finishScored(item, "");
+      complete(item, "");
     }
   }
 
-  /** Commits the result of an item with a complete text, with its score. */
-  void finishScored(ItemProgress item, String score) {
+  /** Commits the result of an item with a complete text; the score is empty if it has none. */
+  void complete(ItemProgress item, String score) {
     finish(item, true, score);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -43,12 +43,11 @@
   private final Supplier<DeploymentView> views;
   private final SlotTracker tracker;
   private final SlotPlacement placement;
-  private final EventLoop loop;
+  private final CoalescedTask dispatch;
   private final BatchMovePolicy movePolicy = new BatchMovePolicy();
   private final LongestFirstOrder itemOrder = new LongestFirstOrder(TOKENS_PER_EVENT);
   private final List<BatchRunner> runners = new ArrayList<>();
   private final Map<String, Map<String, Integer>> observedVersions = new HashMap<>();
-  private boolean dispatchPending;
   private boolean stopped;
 
   BatchScheduler(
@@ -61,7 +60,7 @@
     this.views = views;
     this.tracker = tracker;
     this.placement = placement;
-    this.loop = loop;
+    this.dispatch = new CoalescedTask(loop, this::dispatch);
     Runnable task = Failures.periodicTask("batch-scheduler", this::tick);
     loop.scheduleAtFixedRate(task, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -98,16 +97,9 @@
         .merge(model, version, Math::max);
   }
 
-  /** Schedules a dispatch after the pending events of the loop. Coalesces repeated requests. */
+  /** Schedules a dispatch after the pending events of the loop. */
   void requestDispatch() {
-    if (!dispatchPending) {
-      dispatchPending = true;
-      loop.execute(
-          () -> {
-            dispatchPending = false;
-            dispatch();
-          });
-    }
+    dispatch.request();
   }
 
   private void tick() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreCall.java
@@ -77,9 +77,8 @@
                 request,
                 progress.timeoutMs(),
                 (outcome, load) -> onOutcome(target, outcome, load, maxFailures));
-    if (endpoint != null) {
-      call = started;
-    }
+    boolean endedAtOnce = endpoint == null;
+    call = endedAtOnce ? null : started;
   }
 
   /** Cancels the call in flight. The batch is told nothing afterwards. */
@@ -111,7 +110,7 @@
     switch (progress.onOutcome(outcome, maxFailures, nowMs)) {
       case ScoreDecision.Accept accept -> {
         scheduler.metrics().onScored(progress.elapsedMs(nowMs));
-        runner.finishScored(item, accept.score());
+        runner.complete(item, accept.score());
       }
       case ScoreDecision.Retry retry -> {
         avoidedEndpoints = Set.of(target.id());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -18,6 +17,7 @@
 import org.sycamoretrack.core.request.scoring.ScoreOrder;
 import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.Manifest;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.Failures;
@@ -46,10 +46,9 @@
   private final Supplier<DeploymentView> views;
   private final SlotTracker tracker;
   private final ScoreAdmission admission;
-  private final EventLoop loop;
+  private final CoalescedTask dispatch;
   private final StoreBackedNodeMetrics metrics;
   private final Map<BatchRunner, Map<ItemProgress, ScoreCall>> pending = new HashMap<>();
-  private boolean dispatchPending;
 
   ScoreScheduler(
       EndpointClient endpoints,
@@ -62,7 +61,7 @@
     this.views = views;
     this.tracker = tracker;
     this.admission = new ScoreAdmission(tracker, placement);
-    this.loop = loop;
+    this.dispatch = new CoalescedTask(loop, this::dispatch);
     this.metrics = metrics;
     Runnable task = Failures.periodicTask("score-scheduler", this::dispatch);
     loop.scheduleAtFixedRate(task, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -116,16 +115,9 @@
     return metrics;
   }
 
-  /** Schedules a dispatch after the pending events of the loop. Coalesces repeated requests. */
+  /** Schedules a dispatch after the pending events of the loop. */
   void requestDispatch() {
-    if (!dispatchPending) {
-      dispatchPending = true;
-      loop.execute(
-          () -> {
-            dispatchPending = false;
-            dispatch();
-          });
-    }
+    dispatch.request();
   }
 
   private void dispatch() {
@@ -175,11 +167,9 @@
   }
 
   private static Optional<Route> route(DeploymentView view, ScoreRequest request) {
-    String host = request.host();
-    int colon = host.indexOf(':');
-    String hostName = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
     int query = request.path().indexOf('?');
     String path = query < 0 ? request.path() : request.path().substring(0, query);
-    return view.manifest().flatMap(manifest -> manifest.route(hostName, path));
+    return view.manifest()
+        .flatMap(manifest -> manifest.route(Manifest.hostName(request.host()), path));
   }
 }
