--- a/standins/src/main/java/org/sycamoretrack/standins/process/ServiceCommand.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/ServiceCommand.java
@@ -20,6 +20,11 @@
   @Parameter(names = "--service-time-ms", description = "Duration of a call")
   private int serviceTimeMs = 5;
 
+  @Parameter(
+      names = "--unscorable-share",
+      description = "Share of the texts for which the scorer always reports an error, from 0 to 1")
+  private double unscorableShare;
+
   @Override
   public String name() {
     return "service";
@@ -31,7 +36,9 @@
     List<Integer> ports = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       int servicePort = port == 0 ? 0 : port + i;
-      ports.add(ServiceStandin.start(group, servicePort, serviceTimeMs).address().getPort());
+      ServiceStandin service = ServiceStandin.start(group, servicePort, serviceTimeMs);
+      service.setUnscorableShare(unscorableShare);
+      ports.add(service.address().getPort());
     }
     Standins.printJsonLine(Map.of("event", "ready", "port", ports.get(0), "ports", ports));
     Standins.awaitTermination();
--- a/standins/src/main/java/org/sycamoretrack/standins/process/ServiceStandin.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/process/ServiceStandin.java
@@ -21,8 +21,9 @@
  *
  * <p>It responds to any method on any path with the request and the number of the execution. A call
  * takes {@code serviceTimeMs}, or the value of the query parameter {@code workMs} if present.
- * {@code POST /score} returns a score that depends only on the text. Every execution is recorded in
- * the journal, even if its response is lost; {@code GET /executions?after=N} reads it.
+ * {@code POST /score} returns a score that depends only on the text; a share of the texts, {@link
+ * #setUnscorableShare}, gets an error each time. Every execution is recorded in the journal, even
+ * if its response is lost; {@code GET /executions?after=N} reads it.
  */
 public final class ServiceStandin implements AutoCloseable {
   private static final int SCORE_COUNT = 1_000;
@@ -34,6 +35,7 @@
   private final ExecutionJournal journal = new ExecutionJournal();
   private final AtomicInteger running = new AtomicInteger();
   private final HttpServer server;
+  private volatile double unscorableShare;
 
   /**
    * Starts a service with its own event loop.
@@ -78,6 +80,15 @@
     return faults;
   }
 
+  /**
+   * Sets the texts for which the scorer always reports an error: those whose score would be lower.
+   *
+   * @param share the share of the texts, from 0 to 1
+   */
+  public void setUnscorableShare(double share) {
+    unscorableShare = share;
+  }
+
   /** Returns the journal of executed calls. */
   public ExecutionJournal journal() {
     return journal;
@@ -123,7 +134,11 @@
     running.decrementAndGet();
     JsonNode body = HttpUtils.body(exchange);
     if (exchange.path().equals("/score")) {
-      exchange.respond(HttpResponse.json(200, Map.of("score", score(body.path("text").asText()))));
+      double score = score(body.path("text").asText());
+      exchange.respond(
+          score < unscorableShare
+              ? HttpUtils.error(500, "unscorable", "the text can't be scored")
+              : HttpResponse.json(200, Map.of("score", score)));
       return;
     }
     ObjectNode response =
--- a/standins/src/test/java/org/sycamoretrack/standins/process/ServiceStandinTest.java
+++ b/standins/src/test/java/org/sycamoretrack/standins/process/ServiceStandinTest.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sycamoretrack.transport.request.HttpException;
 
 /** Tests of {@link ServiceStandin}. */
@@ -37,4 +39,14 @@
     JsonNode first = client.call("POST", service.address(), "/score", "{'text':'a b'}").json();
     assertThat(first.path("score").asDouble()).isEqualTo(ServiceStandin.score("a b"));
   }
+
+  @ParameterizedTest
+  @CsvSource({"0, 200", "1, 500"})
+  void unscorableTextsGetAnErrorEachTime(double share, int status) {
+    service.setUnscorableShare(share);
+    for (int i = 0; i < 3; i++) {
+      assertThat(client.call("POST", service.address(), "/score", "{'text':'a b'}").status())
+          .isEqualTo(status);
+    }
+  }
 }
