Correct the example of how a relay peer is replaced

The class comment named b2, while the selection takes the next candidate of the interleaved order, a2, as RelayPeersTest#replacesAPeerThatCannotReachTheServiceAndTriesItAgainLater shows. Comment only; formatter check passes.

--- a/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
@@ -20,7 +20,7 @@
  * don't all dial each other while the service is down for everyone.
  *
  * <p>Example: for a node in zone a and the peers a1, a2, b1, b2, c1, the selection is a1, b1, c1.
- * When b1 reports that it can't reach the service, it becomes a1, c1, b2.
+ * When b1 reports that it can't reach the service, it becomes a1, c1, a2.
  *
  * <p>Thread-safe. All times are in milliseconds of the same monotonic clock.
  */
