Hold requests that arrive before a node has read the manifest

Cause: after the power of all nodes was lost, clients reconnect as soon as a node listens.

Change: StartupQueue holds plain requests until the deployment has been read, and batch submissions until the node is registered, in order of arrival, for at most 600 ms and 512 requests; after that the handler answers as before. The queue stays open once the condition has held, so a node that loses the store later is not affected.

Ruled out: a node that listens only once it has read the manifest, since its clients would be refused by the operating system and lose the same retries.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeServices.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeServices.java
@@ -35,6 +35,22 @@
    */
   boolean isRegistered();
 
+  /**
+   * Runs an action once the node has read the manifest and the endpoints after its start; after a
+   * limited time also if it has not. Called on the traffic loop.
+   *
+   * @param action handles a request in either case
+   */
+  void whenDeploymentRead(Runnable action);
+
+  /**
+   * Runs an action once the node is registered after its start; after a limited time also if it is
+   * not. Called on the traffic loop.
+   *
+   * @param action handles a request in either case
+   */
+  void whenRegistered(Runnable action);
+
   /** Returns whether the node is stopping and accepts no new batches. */
   boolean isStopping();
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -82,6 +82,11 @@
   private static final long CANCEL_MARGIN_MS = 600;
 
   private static final long STOP_POLL_INTERVAL_MS = 50;
+
+  /** Several times the duration of the first store calls after the start. */
+  private static final long MAX_START_WAIT_MS = 600;
+
+  private static final int MAX_START_REQUESTS = 512;
   private static final double MS_PER_SECOND = 1_000.0;
   private static final System.Logger LOG = System.getLogger(StoreBackedNode.class.getName());
 
@@ -106,6 +111,10 @@
   private final HttpServer inspectionServer;
   private final StoreBackedNodeMetrics metrics = new StoreBackedNodeMetrics();
   private final ZoneIsolation isolation = new ZoneIsolation();
+  private final StartupQueue deploymentQueue =
+      new StartupQueue(trafficLoop, this::isDeploymentRead, MAX_START_WAIT_MS, MAX_START_REQUESTS);
+  private final StartupQueue registrationQueue =
+      new StartupQueue(trafficLoop, this::isRegistered, MAX_START_WAIT_MS, MAX_START_REQUESTS);
   private volatile boolean isolated;
   private volatile boolean stopping;
 
@@ -372,6 +381,20 @@
     return registry.isRegistered();
   }
 
+  private boolean isDeploymentRead() {
+    return watch.isComplete();
+  }
+
+  @Override
+  public void whenDeploymentRead(Runnable action) {
+    deploymentQueue.handle(action);
+  }
+
+  @Override
+  public void whenRegistered(Runnable action) {
+    registrationQueue.handle(action);
+  }
+
   @Override
   public boolean isStopping() {
     return stopping;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -52,8 +52,8 @@
   private final Map<String, Owner> owners = new HashMap<>();
   private Manifest manifest;
   private WeightPlan weights = WeightPlan.EMPTY;
-  private boolean endpointsRead;
-  private boolean controlRead;
+  private volatile boolean endpointsRead;
+  private volatile boolean controlRead;
   private volatile DeploymentView view = DeploymentView.EMPTY;
 
   /**
