--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
@@ -135,12 +135,15 @@
           if (!runner.mayDispatch()) {
             return;
           }
+          List<ScoreCall> waiting =
+              calls.values().stream().filter(call -> call.progress().isWaiting(nowMs)).toList();
+          if (waiting.isEmpty()) {
+            return;
+          }
           Map<String, Integer> unfinished = runner.batch().unfinishedByGroup();
-          for (ScoreCall call : calls.values()) {
-            if (call.progress().isWaiting(nowMs)) {
-              int inGroup = unfinished.getOrDefault(call.item().item().group(), 0);
-              candidates.add(new ScoreOrder.Candidate<>(call, call.progress(), inGroup));
-            }
+          for (ScoreCall call : waiting) {
+            int inGroup = unfinished.getOrDefault(call.item().item().group(), 0);
+            candidates.add(new ScoreOrder.Candidate<>(call, call.progress(), inGroup));
           }
         });
     return candidates;
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Deployment.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Deployment.java
@@ -59,6 +59,8 @@
    * @param medianTokens median length in tokens of completions; model pools only
    * @param tokenTimeUs microseconds per token of a single stream; model pools only
    * @param serviceTimeMs time that a call takes, in milliseconds; plain services only
+   * @param unscorableShare share of the texts, from 0 to 1, for which a scorer reports an error
+   *     each time; plain services only
    */
   public record Pool(
       String name,
@@ -66,11 +68,15 @@
       int endpoints,
       int medianTokens,
       int tokenTimeUs,
-      int serviceTimeMs) {
+      int serviceTimeMs,
+      double unscorableShare) {
     /** Validates the fields. */
     public Pool {
       require(name != null && type != null, "pools: name and type are required");
       require(endpoints > 0, "pools: endpoints must be greater than 0");
+      require(
+          unscorableShare >= 0 && unscorableShare <= 1,
+          "pools: unscorableShare must be between 0 and 1");
     }
   }
 
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/Launcher.java
@@ -138,7 +138,9 @@
     String count = Integer.toString(pool.endpoints());
     if (pool.type() == Deployment.PoolType.service) {
       String timeMs = Integer.toString(pool.serviceTimeMs());
-      return List.of("service", "--count", count, "--service-time-ms", timeMs);
+      String share = Double.toString(pool.unscorableShare());
+      return List.of(
+          "service", "--count", count, "--service-time-ms", timeMs, "--unscorable-share", share);
     }
     List<String> arguments =
         new ArrayList<>(
