Give a slow endpoint no preference for the group that it serves

Change: from the slowdown at which runs are moved away (1.8), an endpoint gets no allowance for the prompts that it holds.

SlotPlacementTest#keepsAGroupTogetherOnlyAtAnEndpointThatIsNotSlow failed on the former code.

--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
@@ -10,8 +10,9 @@
  * <p>The cost of an endpoint is the share of its slots that are in use including the new request,
  * multiplied by its slowdown relative to the median. The endpoint with the lowest cost is selected.
  * A request that shares its prompt with others is placed with them if that costs at most {@value
- * #AFFINITY_ALLOWANCE} more, so that the prompt is processed only once. An endpoint in the node's
- * own zone is preferred if it costs at most {@value #ZONE_ALLOWANCE} more.
+ * #AFFINITY_ALLOWANCE} more, so that the prompt is processed only once, unless their endpoint is
+ * slow: an item that is moved away from it must not return. An endpoint in the node's own zone is
+ * preferred if it costs at most {@value #ZONE_ALLOWANCE} more.
  *
  * <p>Designed for groups of items with the same prompt, endpoints with brief slowdowns, and several
  * nodes that place requests without coordination.
@@ -26,6 +27,9 @@
   /** Less than one of twelve slots: the latency to another zone is only a millisecond. */
   private static final double ZONE_ALLOWANCE = 0.05;
 
+  /** The slowdown from which items are moved away from an endpoint. */
+  private static final double SLOW_FACTOR = 1.8;
+
   private final SlotTracker tracker;
   private final String zone;
 
@@ -82,14 +86,12 @@
 
   private double cost(Endpoint endpoint, Set<String> preferred, long nowMs) {
     int slots = Math.max(1, endpoint.slots());
-    double cost =
-        (tracker.load(endpoint.id(), nowMs) + 1.0)
-            / slots
-            * Math.max(1, tracker.worstSlowdown(endpoint.id(), nowMs));
+    double slowdown = Math.max(1, tracker.worstSlowdown(endpoint.id(), nowMs));
+    double cost = (tracker.load(endpoint.id(), nowMs) + 1.0) / slots * slowdown;
     if (tracker.isPaused(endpoint.id(), nowMs)) {
       cost += 1;
     }
-    if (preferred.contains(endpoint.id())) {
+    if (preferred.contains(endpoint.id()) && slowdown < SLOW_FACTOR) {
       cost -= AFFINITY_ALLOWANCE;
     }
     return endpoint.zone().equals(zone) ? cost - ZONE_ALLOWANCE : cost;
--- a/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/connection/SlotPlacementTest.java
@@ -71,6 +71,24 @@
     assertThat(placement.chooseFree(remote, Set.of(other.id()), 0)).isEqualTo(other);
   }
 
+  /** An item that was moved away from a slow endpoint must not be sent there again. */
+  @ParameterizedTest
+  @CsvSource({"40, true", "60, true", "90, false", "200, false"})
+  void keepsAGroupTogetherOnlyAtAnEndpointThatIsNotSlow(double intervalMs, boolean kept) {
+    Endpoint shared =
+        new Endpoint("a", "s", new InetSocketAddress(1), "near", 12, false, 0, Map.of());
+    Endpoint idle =
+        new Endpoint("b", "s", new InetSocketAddress(1), "near", 12, false, 0, Map.of());
+    for (long nowMs = 0; nowMs <= 3_000; nowMs += 10) {
+      tracker.onEvent(idle.id(), 40, nowMs);
+      tracker.onEvent("c", 40, nowMs);
+      tracker.onEvent(shared.id(), intervalMs, nowMs);
+    }
+
+    assertThat(placement.chooseFree(List.of(shared, idle), Set.of(shared.id()), 3_000))
+        .isEqualTo(kept ? shared : idle);
+  }
+
   @Test
   void avoidsAnEndpointForAPauseAfterARefusal() {
     tracker.onRefused(near.id(), 500);
