Release held requests before later ones, and share the factor of a slow endpoint

A request that arrived just when the condition began to hold was handled up to 10 ms before the ones that waited (StartupQueueTest #handlesALaterRequestAfterTheOnesThatWait). The slowdown from which an endpoint counts as slow stands once, in SlotTracker.

--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
@@ -27,9 +27,6 @@
   /** Less than one of twelve slots: the latency to another zone is only a millisecond. */
   private static final double ZONE_ALLOWANCE = 0.05;
 
-  /** The slowdown from which items are moved away from an endpoint. */
-  private static final double SLOW_FACTOR = 1.8;
-
   private final SlotTracker tracker;
   private final String zone;
 
@@ -91,7 +88,7 @@
     if (tracker.isPaused(endpoint.id(), nowMs)) {
       cost += 1;
     }
-    if (preferred.contains(endpoint.id()) && slowdown < SLOW_FACTOR) {
+    if (preferred.contains(endpoint.id()) && slowdown < SlotTracker.TRANSIENT_SLOW_FACTOR) {
       cost -= AFFINITY_ALLOWANCE;
     }
     return endpoint.zone().equals(zone) ? cost - ZONE_ALLOWANCE : cost;
--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotTracker.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotTracker.java
@@ -24,6 +24,12 @@
   /** Batches of other nodes run for about a second, so an older report is outdated. */
   private static final long REPORT_VALID_MS = 1_000;
 
+  /**
+   * The current slowdown from which an endpoint counts as slow at the moment; well above the
+   * variation between single events.
+   */
+  public static final double TRANSIENT_SLOW_FACTOR = 1.8;
+
   /**
    * Time constant of the smoothed interval, about the duration of a slowdown by noisy neighbours.
    * Such a slowdown does not raise the interval to twice the median; one of several seconds does so
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/BatchMovePolicy.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/BatchMovePolicy.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.sycamoretrack.core.connection.SlotTracker;
 
 /**
  * Selects the runs of batch items that are moved from a slow endpoint to a faster one.
@@ -24,12 +25,6 @@
    */
   private static final double SLOW_FACTOR = 2.0;
 
-  /**
-   * The current slowdown from which an endpoint counts as slow at the moment; well above the
-   * variation between single events.
-   */
-  private static final double TRANSIENT_SLOW_FACTOR = 1.8;
-
   /**
    * The fewest remaining tokens for which a run moves away from a transient slowdown. This is about
    * a second of work, which spans several transient slowdowns; each move avoids the rest of one.
@@ -59,7 +54,8 @@
       int id, double slowdown, double currentSlowdown, long runMs, int remainingTokens) {
     private boolean isSlow() {
       boolean transientlySlow =
-          currentSlowdown >= TRANSIENT_SLOW_FACTOR && remainingTokens >= MIN_TRANSIENT_MOVE_TOKENS;
+          currentSlowdown >= SlotTracker.TRANSIENT_SLOW_FACTOR
+              && remainingTokens >= MIN_TRANSIENT_MOVE_TOKENS;
       return runMs >= MIN_RUN_MS && (slowdown >= SLOW_FACTOR || transientlySlow);
     }
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StartupQueue.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StartupQueue.java
@@ -32,6 +32,7 @@
   private final int maxRequests;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private boolean open;
+  private boolean checkScheduled;
 
   /**
    * Creates an empty queue.
@@ -55,29 +56,33 @@
    * @param action handles the request, whether the condition holds or not
    */
   void handle(Runnable action) {
-    open = open || condition.getAsBoolean();
+    release();
     if (open || waiting.size() >= maxRequests) {
       action.run();
       return;
     }
     waiting.add(new Waiting(MonotonicClock.nowMs() + maxWaitMs, action));
-    if (waiting.size() == 1) {
-      scheduleCheck();
-    }
+    scheduleCheck();
   }
 
   private void scheduleCheck() {
-    loop.schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    if (!checkScheduled && !waiting.isEmpty()) {
+      checkScheduled = true;
+      loop.schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
   }
 
   private void check() {
+    release();
+    checkScheduled = false;
+    scheduleCheck();
+  }
+
+  private void release() {
     open = open || condition.getAsBoolean();
     long nowMs = MonotonicClock.nowMs();
     while (!waiting.isEmpty() && (open || waiting.peek().deadlineMs() <= nowMs)) {
       Failures.periodicTask("request held at the start", waiting.poll().action()).run();
     }
-    if (!waiting.isEmpty()) {
-      scheduleCheck();
-    }
   }
 }
--- a/daemon/src/test/java/org/sycamoretrack/daemon/process/storebacked/StartupQueueTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/process/storebacked/StartupQueueTest.java
@@ -64,6 +64,17 @@
     assertThat(List.of(next(), next())).containsExactly("a", "b");
   }
 
+  @Test
+  void handlesALaterRequestAfterTheOnesThatWait() {
+    submit("a");
+    onLoop(
+        () -> {
+          ready.set(true);
+          queue.handle(() -> handled.add("b"));
+        });
+    assertThat(List.of(next(), next())).containsExactly("a", "b");
+  }
+
   @Test
   void handlesAfterTheMaximumTimeWhenNotReady() {
     long startNs = System.nanoTime();
