Decide in one place what an error status of a scoring service means

Cause: HttpScorer and HttpSamplerClient each held the rule that status 500 is the service's own report and any other error status a lost call. The trainers of the stand-ins computed the expected score of a sample twice.

Change: ScoreOutcome.ofErrorStatus has the rule. Behaviour and messages are the same.

Looked at and left: constructors of the same shape (ScoreCall, ItemRun, StartupQueue), and the two senders of ScoringLoadTest, whose actions differ.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/HttpScorer.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/HttpScorer.java
@@ -20,7 +20,6 @@
 /** Scores samples through calls to a plain service. Thread-safe. */
 final class HttpScorer implements Scorer {
   private static final int OK = 200;
-  private static final int SERVER_ERROR = 500;
 
   private final ServiceCaller caller;
   private final Supplier<Configuration> configuration;
@@ -64,12 +63,10 @@
           ? new ScoreOutcome.NotRun(reason)
           : new ScoreOutcome.Lost(reason);
     }
-    String reason = "the scorer responded with HTTP status " + response.status();
-    return switch (response.status()) {
-      case OK -> toScore(response);
-      case SERVER_ERROR -> new ScoreOutcome.Failed(reason);
-      default -> new ScoreOutcome.Lost(reason);
-    };
+    int status = response.status();
+    return status == OK
+        ? toScore(response)
+        : ScoreOutcome.ofErrorStatus(status, "the scorer responded with HTTP status " + status);
   }
 
   private static ScoreOutcome toScore(HttpResponse response) {
--- a/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
+++ b/standins/src/main/java/org/sycamoretrack/standins/driver/StepRun.java
@@ -236,10 +236,11 @@
 
   private boolean hasExpectedScore(JsonNode sample, String text) {
     JsonNode score = sample.path("score");
-    if (trainer.scorer() == null || ServiceStandin.score(text) < unscorableShare()) {
+    double expected = ServiceStandin.score(text);
+    if (trainer.scorer() == null || expected < unscorableShare()) {
       return !score.isNumber();
     }
-    return score.isNumber() && score.asDouble() == ServiceStandin.score(text);
+    return score.isNumber() && score.asDouble() == expected;
   }
 
   private double unscorableShare() {
