Show a batch that no node takes over after a loss of the store's history

Cause: a watch reads the partitions of the table of owners and goes on after the lowest version of their pages. A partition that is created between the list and the first page is in neither.

Change: a case under review/; no change to the program.

--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -41,8 +41,14 @@
   private final List<Observer> observers = new ArrayList<>();
   private long version = 1;
   private long droppedUpTo;
+  private boolean deaf;
+
+  /** The factor by which answers take longer than usual. */
   volatile double slowdown = 1;
 
+  /** Called with each call when it takes effect. */
+  volatile java.util.function.Consumer<Http.Message> onCall = call -> {};
+
   Store() throws IOException {
     address = Http.serve(this::handle);
   }
@@ -69,11 +75,18 @@
     change(new Row(new Key(table, "", key), null, version));
   }
 
-  /** Discards the history, so that feeds from before get 410. */
-  synchronized void dropHistory() {
-    droppedUpTo = version;
-    history.clear();
-    notifyAll();
+  /** Tells feeds nothing for a while, then discards the history, so that all feeds get 410. */
+  void forgetHistory(long deafMs) throws InterruptedException {
+    synchronized (this) {
+      deaf = true;
+    }
+    Thread.sleep(deafMs);
+    synchronized (this) {
+      droppedUpTo = version;
+      history.clear();
+      deaf = false;
+      notifyAll();
+    }
   }
 
   synchronized Row row(String table, String part, String key) {
@@ -106,6 +119,7 @@
     Thread.sleep(halfMs);
     Object[] answer;
     synchronized (this) {
+      onCall.accept(request);
       answer =
           switch (request.path()) {
             case "/-/rows-get" -> get(request);
@@ -211,8 +225,8 @@
     synchronized (this) {
       List<Object> changed = changesAfter(request.query("table"), after);
       long leftMs = (endNanos - System.nanoTime()) / 1_000_000;
-      while (after >= droppedUpTo && changed.isEmpty() && leftMs > 0) {
-        wait(leftMs);
+      while (deaf || (after >= droppedUpTo && changed.isEmpty() && leftMs > 0)) {
+        wait(deaf ? 0 : leftMs);
         changed = changesAfter(request.query("table"), after);
         leftMs = (endNanos - System.nanoTime()) / 1_000_000;
       }
