Show that a request that crashes samplers is sent again without end

Cause: the node on the platform keeps nothing of requests that ended with the crash of their endpoint; the detector of such requests is part of the other program only.

--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -13,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** HTTP/1.1 over plain sockets, so that stand-ins control each byte. */
 final class Http {
@@ -199,24 +201,58 @@
     }
   }
 
-  /** Listens on a free port of the loopback address, one virtual thread for each connection. */
-  static InetSocketAddress serve(Handler handler) throws IOException {
-    ServerSocket server = new ServerSocket(0, 1_024, InetAddress.getLoopbackAddress());
-    Thread.ofVirtual().start(() -> accept(server, handler));
-    return (InetSocketAddress) server.getLocalSocketAddress();
-  }
+  /** A server: its address, and its open connections. */
+  static final class Server implements AutoCloseable {
+    private final ServerSocket socket;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+    private Server(ServerSocket socket) {
+      this.socket = socket;
+    }
+
+    InetSocketAddress address() {
+      return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    private void accept(Handler handler) {
+      while (true) {
+        try {
+          Socket connection = socket.accept();
+          connections.add(connection);
+          Thread.ofVirtual()
+              .start(
+                  () -> {
+                    serve(connection, handler);
+                    connections.remove(connection);
+                  });
+        } catch (IOException e) {
+          return;
+        }
+      }
+    }
 
-  private static void accept(ServerSocket server, Handler handler) {
-    while (true) {
+    /** Ends the server as a crash does: all connections are reset. */
+    @Override
+    public void close() {
       try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> serve(socket, handler));
+        socket.close();
+        for (Socket connection : connections) {
+          connection.setSoLinger(true, 0);
+          connection.close();
+        }
       } catch (IOException e) {
-        return;
+        // The sockets are of no further use.
       }
     }
   }
 
+  /** Listens on a free port of the loopback address, one virtual thread for each connection. */
+  static Server serve(Handler handler) throws IOException {
+    Server server = new Server(new ServerSocket(0, 1_024, InetAddress.getLoopbackAddress()));
+    Thread.ofVirtual().start(() -> server.accept(handler));
+    return server;
+  }
+
   private static void serve(Socket socket, Handler handler) {
     try (Connection connection = new Connection(socket)) {
       Message request = connection.read();
--- a/review/standins/Sampler.java
+++ b/review/standins/Sampler.java
@@ -23,6 +23,8 @@
   final Record record;
   final InetSocketAddress address;
   final AtomicInteger running = new AtomicInteger();
+  private final Http.Server server;
+  private volatile boolean crashed;
   private final Map<String, Integer> versions = new LinkedHashMap<>();
   private final long bornMs = System.currentTimeMillis();
   private long seq;
@@ -48,13 +50,14 @@
     this.store = s;
     this.record = r;
     models.forEach(model -> versions.put(model, 1));
-    address = Http.serve(this::handle);
+    server = Http.serve(this::handle);
+    address = server.address();
     Thread.ofVirtual().start(this::beat);
   }
 
   private void beat() {
     try {
-      while (true) {
+      while (!crashed) {
         store.put("servers", id, entry());
         Thread.sleep(HEARTBEAT_MS);
       }
@@ -63,6 +66,24 @@
     }
   }
 
+  /** Ends all connections and heartbeats at once; the entry is removed after three heartbeats. */
+  void crash() {
+    if (!crashed) {
+      crashed = true;
+      server.close();
+      Thread.ofVirtual().start(this::expire);
+    }
+  }
+
+  private void expire() {
+    try {
+      Thread.sleep(3 * HEARTBEAT_MS);
+      store.remove("servers", id);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private synchronized Map<String, Object> entry() {
     Map<String, Object> entry =
         Json.of(
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -50,7 +50,7 @@
   volatile java.util.function.Consumer<Http.Message> onCall = call -> {};
 
   Store() throws IOException {
-    address = Http.serve(this::handle);
+    address = Http.serve(this::handle).address();
   }
 
   InetSocketAddress address() {
