Start the nodes of a case at an address whose ports are free

Cause: the ports of the deploy template are fixed, and another program may have one of them.

Change: an address is taken only if all four ports are free there.

--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,6 +16,9 @@
 final class Node {
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.0-9]+)(\\|json)?}}");
 
+  /** Callers, readiness, metrics (named in the template) and peers. */
+  private static final List<Integer> PORTS = List.of(8161, 8167, 9464, 7720);
+
   final String id;
   final String ip;
   final InetSocketAddress front;
@@ -28,8 +32,7 @@
   Node(String id, String zone, Store store, Path directory, Record record) throws IOException {
     this.id = id;
     this.record = record;
-    ThreadLocalRandom random = ThreadLocalRandom.current();
-    ip = "127." + random.nextInt(20, 250) + "." + random.nextInt(1, 250) + "." + random.nextInt(2, 250);
+    ip = freeIp();
     front = new InetSocketAddress(ip, 8161);
     ready = new InetSocketAddress(ip, 8167);
     settings = directory.resolve(id + ".json");
@@ -56,6 +59,28 @@
             }));
   }
 
+  /** Returns a loopback address at which all ports of a node are free. */
+  private static String freeIp() throws IOException {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    for (int attempt = 0; attempt < 50; attempt++) {
+      String ip =
+          "127." + random.nextInt(20, 250) + "." + random.nextInt(1, 250) + "." + random.nextInt(2, 250);
+      if (PORTS.stream().allMatch(port -> isFree(ip, port))) {
+        return ip;
+      }
+    }
+    throw new IOException("no loopback address has the ports " + PORTS + " free");
+  }
+
+  private static boolean isFree(String ip, int port) {
+    try (ServerSocket socket = new ServerSocket()) {
+      socket.bind(new InetSocketAddress(ip, port));
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static List<String> command(Path settings) throws IOException {
     for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
       if (line.startsWith("run = ")) {
