--- a/review/standins/Case.java
+++ b/review/Case.java
@@ -9,9 +9,8 @@
 
 /**
  * A case: a small deployment of nodes as processes, a store, samplers and consumers. Run in the
- * repository with the case's folder as argument. Exits with 1 if the rule was broken, 0 if it held
- * and 2 if the case could not run. With {@code TROUBLE=0} in the environment, the disruption is
- * left out.
+ * repository with the case's folder as the first argument, and 1 as the second or 0 to leave the
+ * disruption out. Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
  */
 abstract class Case {
   static final String HOST = "ficu95.example";
@@ -20,7 +19,7 @@
   static final String MODEL = "m0";
   static final String MODEL_2 = "m1";
 
-  final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  boolean trouble;
   final List<Node> nodes = new ArrayList<>();
   Record record;
   Store store;
@@ -34,6 +33,7 @@
     Thread cleaner = new Thread(played::stopNodes);
     Runtime.getRuntime().addShutdownHook(cleaner);
     try {
+      played.trouble = !"0".equals(arguments[1]);
       played.record = new Record(Path.of(arguments[0], "record.txt"));
       played.directory = Files.createTempDirectory("review-case");
       played.store = new Store();
--- a/review/standins/MissedOwner.java
+++ b/review/MissedOwner.java
@@ -22,6 +22,9 @@
   private static final long STEP_LIMIT_MS = 12_000;
   private static final long IDLE_LIMIT_MS = 5_000;
 
+  /** The system is steady again this long after the last disruption has ended. */
+  private static final long STABLE_MS = 3_000;
+
   private final Set<String> begun = ConcurrentHashMap.newKeySet();
   private final List<Long> tableReads = new ArrayList<>();
   private volatile long lastRunAtMs;
@@ -89,6 +92,7 @@
       nodes.get(0).signal("KILL");
       record.line("machine %s is removed for good", nodes.get(0).id);
     }
+    long steadyFromMs = record.nowMs() + STABLE_MS;
     int listed = 0;
     int last = -1;
     long idleMs = 0;
@@ -100,7 +104,7 @@
       }
       boolean working = samplers.stream().anyMatch(sampler -> sampler.running.get() > 0);
       long nowMs = record.nowMs();
-      idleSinceMs = working ? -1 : idleSinceMs < 0 ? Math.max(lastRunAtMs, submittedAtMs) : idleSinceMs;
+      idleSinceMs = working ? -1 : idleSinceMs < 0 ? Math.max(lastRunAtMs, steadyFromMs) : idleSinceMs;
       idleMs = idleSinceMs < 0 ? idleMs : Math.max(idleMs, nowMs - idleSinceMs);
       if (listed != last) {
         record.line("trainer: %d of %d results read", listed, ITEMS);
@@ -108,7 +112,7 @@
       }
     }
     record.tell(
-        "listed %d of %d items %d ms after the submission; %d had begun; no sampler had one for %d ms",
+        "listed %d of %d items %d ms after the submission; %d had begun; no sampler had one for %d ms of steady state",
         listed, ITEMS, record.nowMs() - submittedAtMs, begun.size(), idleMs);
     return listed == ITEMS || idleMs < IDLE_LIMIT_MS;
   }
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 source config/jdk.sh
 rm -rf target/review
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" --release 21 -d target/review review/standins/*.java
+"$JAVA_HOME/bin/javac" --release 21 -d target/review review/*.java
