Continue the watch of a table after the version of its list of partitions

Callers saw: a batch that was accepted with 202 was never taken over after the loss of its node.

Cause: TableWatch polled for changes after the lowest version of the reads of the partitions. A partition created after the list and before the first read was in neither the list nor the polls.

Change: PartitionedStore.partitions returns the version of the list, direct and through a peer, and the polls continue after the lowest version of all reads with the list. Every write up to that version is in the list, and every later one is polled. An empty table, whose watch read it over and over after a loss of the history, now has a version as well.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredStore.java
@@ -1,6 +1,5 @@
 package org.sycamoretrack.daemon.client;
 
-import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletionStage;
 import org.sycamoretrack.core.process.MonotonicClock;
@@ -46,7 +45,7 @@
   }
 
   @Override
-  public CompletionStage<List<String>> partitions(String table) {
+  public CompletionStage<Partitions> partitions(String table) {
     return measure("partitions", store.partitions(table));
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/PartitionedStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/PartitionedStore.java
@@ -49,6 +49,20 @@
     }
   }
 
+  /**
+   * The partitions of a table.
+   *
+   * @param names the partitions that have rows
+   * @param version the newest version in the store when the first of them was read; a partition
+   *     that isn't named has no rows, or only newer ones
+   */
+  record Partitions(List<String> names, long version) {
+    /** Copies the names. */
+    public Partitions {
+      names = List.copyOf(names);
+    }
+  }
+
   /** The changes of a table after a version. */
   sealed interface Changes {
     /**
@@ -147,7 +161,7 @@
    *
    * @param table the table
    */
-  CompletionStage<List<String>> partitions(String table);
+  CompletionStage<Partitions> partitions(String table);
 
   /**
    * Waits for changes to any partition of a table.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/RelayedStore.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/RelayedStore.java
@@ -1,7 +1,6 @@
 package org.sycamoretrack.daemon.process.storebacked;
 
 import io.netty.channel.EventLoop;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
@@ -60,8 +59,11 @@
   }
 
   @Override
-  public CompletionStage<List<String>> partitions(String table) {
-    return read(() -> direct.partitions(table), id -> Call.partitions(id, table), Reply::names);
+  public CompletionStage<Partitions> partitions(String table) {
+    return read(
+        () -> direct.partitions(table),
+        id -> Call.partitions(id, table),
+        reply -> new Partitions(reply.names(), reply.version()));
   }
 
   @Override
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreMessage.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.daemon.client.PartitionWrite;
+import org.sycamoretrack.daemon.client.PartitionedStore.Partitions;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 import org.sycamoretrack.daemon.connection.FieldReader;
 import org.sycamoretrack.daemon.connection.FieldSource;
@@ -184,8 +185,16 @@
       return new Reply(id, result, rows, List.of(), version, more, ExecutionOutcome.RAN, "");
     }
 
-    static Reply names(long id, List<String> names) {
-      return new Reply(id, Result.NAMES, List.of(), names, 0, false, ExecutionOutcome.RAN, "");
+    static Reply partitions(long id, Partitions partitions) {
+      return new Reply(
+          id,
+          Result.NAMES,
+          List.of(),
+          partitions.names(),
+          partitions.version(),
+          false,
+          ExecutionOutcome.RAN,
+          "");
     }
 
     static Reply failed(long id, ExecutionOutcome outcome, String message) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreRelay.java
@@ -247,7 +247,8 @@
               .scan(call.table(), call.partition(), call.fromKey(), call.limit())
               .thenApply(
                   page -> Reply.of(id, Result.PAGE, page.rows(), page.version(), page.more()));
-      case PARTITIONS -> store.partitions(call.table()).thenApply(names -> Reply.names(id, names));
+      case PARTITIONS ->
+          store.partitions(call.table()).thenApply(partitions -> Reply.partitions(id, partitions));
       case CHANGES ->
           store
               .changes(call.table(), call.afterVersion(), call.waitMs())
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ExpiredBatchCleaner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ExpiredBatchCleaner.java
@@ -68,9 +68,9 @@
     return store
         .partitions(BatchRowCodec.BATCH_TABLE)
         .thenCompose(
-            batchIds -> {
+            batches -> {
               CompletionStage<Integer> removed = CompletableFuture.completedFuture(0);
-              for (String batchId : batchIds) {
+              for (String batchId : batches.names()) {
                 removed =
                     removed.thenCompose(
                         count -> check(batchId, foundWithoutHead).thenApply(done -> count + done));
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -19,8 +19,15 @@
  *
  * <p>The store holds a poll for a limited time, and the store's client times out soon after that,
  * so that a dead connection is noticed. When the store no longer has the history since the known
- * version, the whole table is read again. Failed calls are repeated after a delay; the listener is
- * not notified of failures, so the rows received earlier remain valid.
+ * version, the whole table is read again.
+ *
+ * <p>The reads of a whole table aren't atomic, so the polls continue after the lowest version of
+ * all of them, the list of partitions included. For example, if the partitions are listed at
+ * version 10, partition {@code p} is created at 11 and the last page is read at 12, then polling
+ * after 10 reports {@code p}.
+ *
+ * <p>Failed calls are repeated after a delay; the listener is not notified of failures, so the rows
+ * received earlier remain valid.
  *
  * <p>Confined to one event loop, on which the listener is called. Only {@link #confirmedAtMs} may
  * be read from any thread.
@@ -126,7 +133,8 @@
                     if (failure != null) {
                       retry(failure, this::readTable);
                     } else {
-                      tableRead.remainingPartitions.addAll(partitions);
+                      tableRead.remainingPartitions.addAll(partitions.names());
+                      tableRead.version = partitions.version();
                       readNextPartition(tableRead);
                     }
                   }));
@@ -158,9 +166,7 @@
   }
 
   private void onTableRead(TableRead tableRead) {
-    if (tableRead.version != Long.MAX_VALUE) {
-      version = tableRead.version;
-    }
+    version = tableRead.version;
     onResponse(tableRead.sentAtMs);
     listener.onSnapshot(tableRead.rows);
     pollChanges();
@@ -239,6 +245,8 @@
     private final long sentAtMs;
     private final Deque<String> remainingPartitions = new ArrayDeque<>();
     private final List<Row> rows = new ArrayList<>();
+
+    /** The lowest version of the reads so far. */
     private long version = Long.MAX_VALUE;
 
     private TableRead(long sentAtMs) {
