Skip a late copy of another request's response for each call to a sampler

Cause: ItemResponseReader compared the id only for status 200, and the call for items didn't name the header by which the client skips late copies.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
@@ -426,12 +426,9 @@
         return;
       }
       switch (response) {
-        case ACCEPTED, CONFLICT -> {
-          // The next report shows whether the endpoint loads or serves the version.
-        }
-        case ALREADY_HOLDS -> {
-          recordServedVersion(command.model(), command.version());
-          end("already served");
+        case ACCEPTED, ALREADY_HOLDS, CONFLICT -> {
+          // The next report shows whether the endpoint loads or serves the version. A late copy of
+          // another response may look like this one.
         }
         case FENCED, REFUSED, OTHER_ENDPOINT -> end("refused");
       }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -24,8 +24,13 @@
  *
  * <p>A response with neither a content length nor chunked encoding ends where the connection
  * closes, which can't be distinguished from a crash of the server. Such a response is rejected as
- * malformed unless the request allows it. A response to an earlier request is skipped if the
- * request names a header that the server echoes in the response.
+ * malformed unless the request allows it.
+ *
+ * <p>A server may send an extra copy of a response late, where the response to the next request is
+ * due. If the request names a header that the server echoes, a response whose echo differs is
+ * skipped. If the next request has the same value, for example the same request sent again, the
+ * echo doesn't distinguish the copy, so such a request needs another connection ({@link
+ * #lastCarried}).
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int NO_CONTENT = 204;
@@ -36,6 +41,7 @@
   private ClientExchange exchange;
   private boolean keepAlive;
   private boolean skippingResponse;
+  private String lastEchoedValue;
 
   ClientConnection(Consumer<ClientConnection> onIdle) {
     this.onIdle = onIdle;
@@ -54,9 +60,21 @@
     ctx.close();
   }
 
+  /** Returns whether the last request on this connection can't be told from another by the echo. */
+  boolean lastCarried(HttpRequest request) {
+    String value = echoedValue(request);
+    return value != null && value.equals(lastEchoedValue);
+  }
+
+  /** Returns the value that the server echoes in the response, or null if there is none. */
+  private static String echoedValue(HttpRequest request) {
+    return request.echoedHeader() == null ? null : request.headers().get(request.echoedHeader());
+  }
+
   /** Sends the request of a call. The connection must be open and carry no other call. */
   void send(ClientExchange newExchange) {
     exchange = newExchange;
+    lastEchoedValue = echoedValue(newExchange.request());
     newExchange.attachChannel(ctx.channel());
     ctx.writeAndFlush(encode(newExchange.request()))
         .addListener(
@@ -127,7 +145,7 @@
   private boolean isResponseToEarlierRequest(HttpResponse response) {
     String name = exchange.request().echoedHeader();
     String echoed = name == null ? null : response.headers().get(name);
-    return echoed != null && !echoed.equals(exchange.request().headers().get(name));
+    return echoed != null && !echoed.equals(echoedValue(exchange.request()));
   }
 
   private boolean isBodiless(HttpResponse response) {
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -142,17 +142,26 @@
     if (exchange.isFinished()) {
       return;
     }
-    if (!exchange.request().freshConnection()) {
-      Deque<ClientConnection> connections = idleConnections(loop, exchange.request().address());
-      ClientConnection connection;
-      while ((connection = connections.pollFirst()) != null) {
-        if (connection.isActive()) {
-          connection.send(exchange);
-          return;
-        }
-      }
+    ClientConnection connection =
+        exchange.request().freshConnection() ? null : takeIdle(exchange.request(), loop);
+    if (connection == null) {
+      connect(exchange, loop);
+    } else {
+      connection.send(exchange);
     }
-    connect(exchange, loop);
+  }
+
+  /** Returns an idle connection that can carry a request, or null when there is none. */
+  private ClientConnection takeIdle(HttpRequest request, EventLoop loop) {
+    Deque<ClientConnection> connections = idleConnections(loop, request.address());
+    connections.removeIf(connection -> !connection.isActive());
+    ClientConnection usable =
+        connections.stream()
+            .filter(connection -> !connection.lastCarried(request))
+            .findFirst()
+            .orElse(null);
+    connections.remove(usable);
+    return usable;
   }
 
   private Deque<ClientConnection> idleConnections(EventLoop loop, InetSocketAddress address) {
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
@@ -96,7 +96,8 @@
 
   /**
    * Returns the name of a request header that the server echoes in the response, or null if there
-   * is none. A response with a different value belongs to an earlier request and is skipped.
+   * is none. A response with a different value belongs to an earlier request and is skipped; if
+   * this request doesn't have the header, so is each response that has it.
    */
   public String echoedHeader() {
     return echoedHeader;
@@ -203,7 +204,7 @@
      * Sets the name of a request header that the server echoes in the response, so that a late
      * response to an earlier request can be recognized.
      *
-     * @param name the name of a header that the request has
+     * @param name the name of the header, which this request may lack
      * @return this builder
      */
     public Builder echoedHeader(String name) {
