Refuse requests that crash endpoints on the users' platform

Cause: StoreBackedNode had no part of PoisonRequestDetector, which the other program uses; ForwardedCall kept nothing of a request that lost its endpoint.

Change: EndpointCrashes attributes crashes to plain requests by the shared PoisonGuard, with a call to the endpoint before it counts as crashed. Nodes share their reports by a row each in the watched control table. A quarantined request is refused with 503 and the time that is left. The second crash at any node stops it at all nodes, so no retry follows the third by more than the time of one write to the store. Items and scoring calls are owed and not attributed.

--- a/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
@@ -228,6 +228,19 @@
         && nowMs < history.latestAtMs + crashTtlMs;
   }
 
+  /**
+   * Returns how much longer the quarantine of a request lasts.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param nowMs the current time in milliseconds
+   * @return the remaining time in milliseconds, 0 if the request isn't quarantined
+   */
+  public long quarantineRemainingMs(String fingerprint, long nowMs) {
+    return isQuarantined(fingerprint, nowMs)
+        ? crashesByFingerprint.get(fingerprint).latestAtMs + quarantineMs - nowMs
+        : 0;
+  }
+
   /**
    * Returns the quarantined fingerprints in sorted order.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
@@ -70,8 +70,10 @@
      * No complete response arrived; the request may have been executed.
      *
      * @param reason the reason, for logs
+     * @param connectionClosed whether the connection was closed or reset before the response was
+     *     complete, as when the endpoint crashes
      */
-    record Lost(String reason) implements AttemptResult {}
+    record Lost(String reason, boolean connectionClosed) implements AttemptResult {}
   }
 
   /** Receives the result of a plain request. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -28,6 +28,7 @@
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
+import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
 import org.sycamoretrack.daemon.request.batch.BatchService;
 import org.sycamoretrack.daemon.request.batch.ExpiredBatchCleaner;
@@ -105,6 +106,8 @@
   private final OrphanedBatchDetector orphanDetector;
   private final LoadCommandService loadCommandService;
   private final BatchComponents components;
+  private final PoisonGuard poison;
+  private final SharedCrashReports crashReports;
   private final ExpiredBatchCleaner batchCleaner;
   private final HttpServer callerServer;
   private final HttpServer readinessServer;
@@ -125,26 +128,18 @@
     this.relayPeers = new RelayPeers(settings.zone(), MAX_RELAY_PEERS);
     this.relay = new StoreRelay(link, directStore, path, relayPeers, controlLoop);
     PartitionedStore controlStore = new RelayedStore(directStore, relay, path, controlLoop);
-    PartitionedStore trafficStore =
-        new RelayedStore(
-            new MeteredStore(adapter.store(trafficGroup), metrics), relay, path, trafficLoop);
     this.watch =
         new DeploymentWatch(controlStore, adapter.codec(), controlLoop, this::onDeploymentChanged);
     NodeRecord self =
         new NodeRecord(
             settings.nodeId(), incarnation, settings.zone(), settings.peerAddress(), 0, false);
     this.registry = new NodeRegistry(controlStore, controlLoop, self, this::onNodesChanged);
-    this.components =
-        BatchComponents.builder()
-            .store(trafficStore)
-            .endpoints(new MeteredEndpointClient(adapter.endpoints(trafficGroup), metrics))
-            .metrics(metrics)
-            .views(watch::view)
-            .loop(trafficLoop)
-            .nodeId(settings.nodeId())
-            .incarnation(incarnation)
-            .zone(settings.zone())
-            .build();
+    this.poison = new PoisonGuard(settings.nodeId() + '/' + incarnation);
+    this.crashReports =
+        new SharedCrashReports(controlStore, controlLoop, settings.nodeId(), poison);
+    poison.onCrashRecord(crashReports::onCrash);
+    watch.onCrashes(crashReports::onReports);
+    this.components = createComponents(adapter);
     this.orphanDetector =
         new OrphanedBatchDetector(
             settings.nodeId(),
@@ -205,6 +200,23 @@
         Failures.periodicTask(name, task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
   }
 
+  private BatchComponents createComponents(PlatformAdapter adapter) {
+    PartitionedStore trafficStore =
+        new RelayedStore(
+            new MeteredStore(adapter.store(trafficGroup), metrics), relay, path, trafficLoop);
+    return BatchComponents.builder()
+        .store(trafficStore)
+        .endpoints(new MeteredEndpointClient(adapter.endpoints(trafficGroup), metrics))
+        .metrics(metrics)
+        .views(watch::view)
+        .loop(trafficLoop)
+        .nodeId(settings.nodeId())
+        .incarnation(incarnation)
+        .zone(settings.zone())
+        .poison(poison)
+        .build();
+  }
+
   private static HttpServer serve(
       EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
     return HttpServer.builder().group(group).address(address).handler(handler).start();
@@ -258,6 +270,7 @@
 
   private void tick() {
     updateIsolation();
+    crashReports.tick(MonotonicClock.nowMs());
     if (!watch.isComplete()) {
       return;
     }
@@ -303,6 +316,10 @@
         "endpoints_draining",
         "Endpoints that receive no new work",
         () -> watch.view().fleet().all().stream().filter(Endpoint::draining).count());
+    metrics.gauge(
+        "requests_quarantined",
+        "Different requests that are refused because they crashed endpoints",
+        () -> poison.quarantined().size());
     metrics.gauge(
         "deployment_batches",
         "Batches that are owned by some node",
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
@@ -44,32 +44,46 @@
   }
 
   /** Returns whether a request may run on an endpoint now. */
-  synchronized PoisonRequestDetector.Verdict verdict(String fingerprint, String endpoint) {
+  public synchronized PoisonRequestDetector.Verdict verdict(String fingerprint, String endpoint) {
     return detector.verdict(fingerprint, endpoint, MonotonicClock.nowMs());
   }
 
   /** Returns whether requests with a fingerprint must be refused. */
-  synchronized boolean isQuarantined(String fingerprint) {
+  public synchronized boolean isQuarantined(String fingerprint) {
     return detector.isQuarantined(fingerprint, MonotonicClock.nowMs());
   }
 
+  /**
+   * Returns how much longer requests with a fingerprint are refused, in milliseconds; 0 if they are
+   * not.
+   */
+  public synchronized long quarantineRemainingMs(String fingerprint) {
+    return detector.quarantineRemainingMs(fingerprint, MonotonicClock.nowMs());
+  }
+
+  /** Returns whether crashes of a request still count against it. */
+  public synchronized boolean isAccused(String fingerprint) {
+    long nowMs = MonotonicClock.nowMs();
+    return detector.isSuspect(fingerprint, nowMs) || detector.isQuarantined(fingerprint, nowMs);
+  }
+
   /** Called when a request starts on an endpoint. */
-  synchronized void onStart(String fingerprint, String endpoint) {
+  public synchronized void onStart(String fingerprint, String endpoint) {
     detector.onStart(fingerprint, endpoint);
   }
 
   /** Called when a request succeeded on an endpoint. */
-  synchronized void onSuccess(String fingerprint, String endpoint) {
+  public synchronized void onSuccess(String fingerprint, String endpoint) {
     detector.onSuccess(fingerprint, endpoint, MonotonicClock.nowMs());
   }
 
   /** Called when a request ended without success and without a crash of the endpoint. */
-  synchronized void onEnd(String fingerprint, String endpoint) {
+  public synchronized void onEnd(String fingerprint, String endpoint) {
     detector.onEnd(fingerprint, endpoint);
   }
 
   /** Called when an endpoint crashed. Records the crash for its requests and tells other nodes. */
-  void onEndpointCrash(String endpoint) {
+  public void onEndpointCrash(String endpoint) {
     String deathId = nodeId + '/' + endpoint + '/' + crashCount.incrementAndGet();
     List<PoisonRequestDetector.CrashRecord> crashRecords;
     synchronized (this) {
@@ -99,9 +113,14 @@
             MonotonicClock.nowMs()));
   }
 
+  /** Removes expired records. To be called periodically. */
+  public synchronized void expire() {
+    detector.expire(MonotonicClock.nowMs());
+  }
+
   /** Removes expired records and returns the quarantined fingerprints. */
   public synchronized List<String> quarantined() {
-    detector.expire(MonotonicClock.nowMs());
+    expire();
     return detector.quarantined(MonotonicClock.nowMs());
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -8,6 +8,7 @@
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.PartitionedStore;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
+import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
@@ -38,7 +39,13 @@
             builder.metrics);
     this.forwarder =
         new Forwarder(
-            builder.endpoints, builder.views, tracker, placement, builder.loop, builder.metrics);
+            builder.endpoints,
+            builder.views,
+            tracker,
+            placement,
+            builder.loop,
+            builder.metrics,
+            builder.poison);
   }
 
   public static Builder builder() {
@@ -63,6 +70,7 @@
     private String incarnation;
     private String zone;
     private StoreBackedNodeMetrics metrics;
+    private PoisonGuard poison;
 
     private Builder() {}
 
@@ -114,6 +122,12 @@
       return this;
     }
 
+    /** Sets the guard that tells which plain requests crash endpoints. */
+    public Builder poison(PoisonGuard poison) {
+      this.poison = poison;
+      return this;
+    }
+
     /** Creates the components. */
     public BatchComponents build() {
       Objects.requireNonNull(store, "store");
@@ -124,6 +138,7 @@
       Objects.requireNonNull(incarnation, "incarnation");
       Objects.requireNonNull(zone, "zone");
       Objects.requireNonNull(metrics, "metrics");
+      Objects.requireNonNull(poison, "poison");
       return new BatchComponents(this);
     }
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardOutcome.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardOutcome.java
@@ -19,6 +19,13 @@
    */
   record NotRun(String reason, long retryAfterMs) implements ForwardOutcome {}
 
+  /**
+   * The request was not sent, because requests like it have crashed the endpoints that ran them.
+   *
+   * @param retryAfterMs the time until such requests are sent again, in milliseconds
+   */
+  record Quarantined(long retryAfterMs) implements ForwardOutcome {}
+
   /**
    * An endpoint may have run the request, but its response was lost.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -24,7 +24,8 @@
  * hasn't responded after {@value #HEDGE_DELAY_MS} ms. The first complete response is used and the
  * other run is cancelled. A request that may run only once is sent to another endpoint only after
  * the previous one has confirmed that it didn't and won't run it. Such a refusal doesn't count as
- * an attempt. Each endpoint is tried at most once.
+ * an attempt. Each endpoint is tried at most once. A request that is quarantined for the crashes of
+ * {@link EndpointCrashes} is not sent at all.
  *
  * <p>Confined to the traffic loop.
  */
@@ -46,8 +47,9 @@
   private final long startedMs = MonotonicClock.nowMs();
   private final long deadlineMs;
   private final String service;
+  private final String fingerprint;
   private final Set<String> tried = new HashSet<>();
-  private final Set<String> inFlight = new HashSet<>();
+  private final Map<String, Endpoint> inFlight = new HashMap<>();
   private final Map<String, HttpCall> running = new HashMap<>();
   private int attempts;
   private boolean maybeRan;
@@ -67,9 +69,15 @@
     this.onOutcome = onOutcome;
     this.deadlineMs = startedMs + Math.min(timeoutMs, route.timeoutMs());
     this.service = route.selectService(ThreadLocalRandom.current().nextInt());
+    this.fingerprint = EndpointCrashes.fingerprint(request);
   }
 
   void start() {
+    long quarantineMs = forwarder.crashes().quarantineRemainingMs(fingerprint);
+    if (quarantineMs > 0) {
+      end(new ForwardOutcome.Quarantined(quarantineMs));
+      return;
+    }
     forwarder.schedule(this::onTimeout, Math.max(0, deadlineMs - startedMs));
     if (!sendNext()) {
       end(new ForwardOutcome.NotRun(lastReason, RETRY_AFTER_MS));
@@ -84,7 +92,13 @@
 
   private void cancelRunning() {
     List<HttpCall> calls = List.copyOf(running.values());
-    inFlight.forEach(forwarder.tracker()::onEnded);
+    inFlight
+        .values()
+        .forEach(
+            endpoint -> {
+              forwarder.tracker().onEnded(endpoint.id());
+              forwarder.crashes().onEnded(fingerprint, endpoint);
+            });
     inFlight.clear();
     running.clear();
     calls.forEach(HttpCall::cancel);
@@ -100,20 +114,21 @@
     if (ended || attempts >= route.attempts() || nowMs >= deadlineMs || service == null) {
       return false;
     }
-    Endpoint endpoint = forwarder.choose(service, tried);
+    Endpoint endpoint = forwarder.choose(service, fingerprint, tried);
     if (endpoint == null) {
       return false;
     }
     tried.add(endpoint.id());
     attempts++;
-    inFlight.add(endpoint.id());
+    inFlight.put(endpoint.id(), endpoint);
     forwarder.tracker().onSent(endpoint.id());
+    forwarder.crashes().onSent(fingerprint, endpoint);
     HttpCall call =
         forwarder
             .endpoints()
             .send(
                 endpoint, request, deadlineMs - nowMs, result -> onAttemptResult(endpoint, result));
-    if (inFlight.contains(endpoint.id())) {
+    if (inFlight.containsKey(endpoint.id())) {
       running.put(endpoint.id(), call);
     }
     if (isRepeatable()) {
@@ -123,7 +138,7 @@
   }
 
   private void hedge(Endpoint slow) {
-    if (!ended && inFlight.contains(slow.id()) && inFlight.size() == 1 && sendNext()) {
+    if (!ended && inFlight.containsKey(slow.id()) && inFlight.size() == 1 && sendNext()) {
       LOG.log(
           System.Logger.Level.INFO,
           LogEvent.of("request-hedged")
@@ -134,7 +149,7 @@
   }
 
   private void onAttemptResult(Endpoint endpoint, AttemptResult result) {
-    if (!inFlight.remove(endpoint.id())) {
+    if (inFlight.remove(endpoint.id()) == null) {
       return;
     }
     running.remove(endpoint.id());
@@ -142,6 +157,7 @@
     long nowMs = MonotonicClock.nowMs();
     switch (result) {
       case AttemptResult.Answered answered -> {
+        forwarder.crashes().onAnswered(fingerprint, endpoint);
         recordLoad(endpoint, answered.load(), nowMs);
         if (answered.response().status() >= SERVER_ERROR && isRepeatable()) {
           failedResponse = answered;
@@ -154,6 +170,7 @@
         }
       }
       case AttemptResult.NotRun notRun -> {
+        forwarder.crashes().onEnded(fingerprint, endpoint);
         recordLoad(endpoint, notRun.load(), nowMs);
         forwarder.tracker().onRefused(endpoint.id(), nowMs + REFUSED_PAUSE_MS);
         attempts--;
@@ -161,6 +178,11 @@
         onAttemptFailed(endpoint);
       }
       case AttemptResult.Lost lost -> {
+        if (lost.connectionClosed()) {
+          forwarder.crashes().onConnectionClosed(fingerprint, endpoint);
+        } else {
+          forwarder.crashes().onEnded(fingerprint, endpoint);
+        }
         forwarder.tracker().onFailed(endpoint.id(), nowMs);
         maybeRan = true;
         lastReason = lost.reason();
@@ -228,6 +250,7 @@
       case ForwardOutcome.Answered answered ->
           answered.response().status() < SERVER_ERROR ? "answered" : "answered_with_error";
       case ForwardOutcome.NotRun notRun -> "not_run";
+      case ForwardOutcome.Quarantined quarantined -> "quarantined";
       case ForwardOutcome.Lost lost -> "lost";
       case ForwardOutcome.TimedOut timedOut -> "timed_out";
     };
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -14,6 +14,7 @@
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.EndpointClient.PlainRequest;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
+import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
@@ -29,6 +30,7 @@
   private final SlotPlacement placement;
   private final EventLoop loop;
   private final StoreBackedNodeMetrics metrics;
+  private final EndpointCrashes crashes;
 
   /**
    * Creates a forwarder.
@@ -39,6 +41,7 @@
    * @param placement selects endpoints
    * @param loop the traffic loop
    * @param metrics counts requests
+   * @param poison tells which requests crash endpoints
    */
   public Forwarder(
       EndpointClient endpoints,
@@ -46,13 +49,15 @@
       SlotTracker tracker,
       SlotPlacement placement,
       EventLoop loop,
-      StoreBackedNodeMetrics metrics) {
+      StoreBackedNodeMetrics metrics,
+      PoisonGuard poison) {
     this.endpoints = endpoints;
     this.views = views;
     this.tracker = tracker;
     this.placement = placement;
     this.loop = loop;
     this.metrics = metrics;
+    this.crashes = new EndpointCrashes(endpoints, poison, loop);
   }
 
   /**
@@ -83,11 +88,16 @@
     return tracker;
   }
 
-  /** Returns an endpoint that hasn't been tried, or null if there is none. */
-  Endpoint choose(String service, Set<String> tried) {
+  EndpointCrashes crashes() {
+    return crashes;
+  }
+
+  /** Returns an endpoint that hasn't been tried and may run the request, or null if none may. */
+  Endpoint choose(String service, String fingerprint, Set<String> tried) {
     List<Endpoint> candidates =
         views.get().fleet().inService(service).stream()
             .filter(endpoint -> !tried.contains(endpoint.id()))
+            .filter(endpoint -> crashes.maySend(fingerprint, endpoint))
             .toList();
     return placement.chooseAny(candidates, MonotonicClock.nowMs());
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.version.deployment;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,11 +21,12 @@
  *   <tr><td>control</td><td>a batch</td><td>owner</td><td>the node that runs it</td></tr>
  *   <tr><td>control</td><td>orders</td><td>lease</td><td>who may send load commands</td></tr>
  *   <tr><td>control</td><td>orders</td><td>weights</td><td>the {@link WeightPlan}</td></tr>
+ *   <tr><td>control</td><td>crashes</td><td>a node</td><td>its {@link CrashReports}</td></tr>
  *   <tr><td>nodes</td><td>(empty)</td><td>a node</td><td>its heartbeat</td></tr>
  * </table>
  *
- * <p>Clients choose the ids of batches, so a batch may have the id {@value #ORDERS}. Its row does
- * not conflict, since the keys differ.
+ * <p>Clients choose the ids of batches, so a batch may have the id {@value #ORDERS} or {@value
+ * #CRASHES}. Its row does not conflict, since the keys differ.
  */
 public final class ControlTables {
   /** The table of owners and leases, which all nodes watch. */
@@ -45,8 +47,81 @@
   /** The key of a batch's owner in the partition of the batch. */
   public static final String OWNER = "owner";
 
+  /** The partition with the crashes that nodes observed. */
+  public static final String CRASHES = "crashes";
+
+  /** The prefix of a node's key in {@link #CRASHES}. */
+  private static final String CRASH_KEY_PREFIX = "node:";
+
   private ControlTables() {}
 
+  /** Returns the key of a node's row in {@link #CRASHES}. */
+  public static String crashKey(String nodeId) {
+    return CRASH_KEY_PREFIX + nodeId;
+  }
+
+  /** Returns whether a row holds {@link CrashReports}. */
+  public static boolean isCrashRow(Row row) {
+    return row.partition().equals(CRASHES) && row.key().startsWith(CRASH_KEY_PREFIX);
+  }
+
+  /**
+   * A crash of an endpoint, attributed to a request that ran on it.
+   *
+   * @param fingerprint the fingerprint of the request
+   * @param endpoint the id of the endpoint
+   * @param crashId the id of the crash, unique among all nodes
+   * @param epochMs when it was observed, by the wall clock of the node that observed it
+   */
+  public record CrashReport(String fingerprint, String endpoint, String crashId, long epochMs) {}
+
+  /**
+   * The crashes that a node observed and that still count against requests.
+   *
+   * @param observer the node
+   * @param reports the crashes
+   */
+  public record CrashReports(String observer, List<CrashReport> reports) {
+    /** Copies the reports. */
+    public CrashReports {
+      reports = List.copyOf(reports);
+    }
+  }
+
+  /** Encodes crash reports. */
+  public static byte[] encode(CrashReports crashes) {
+    ObjectNode json = Json.object();
+    ArrayNode reports = json.putArray("reports");
+    for (CrashReport report : crashes.reports()) {
+      reports
+          .addObject()
+          .put("fingerprint", report.fingerprint())
+          .put("endpoint", report.endpoint())
+          .put("crash", report.crashId())
+          .put("epochMs", report.epochMs());
+    }
+    return Json.toBytes(json);
+  }
+
+  /**
+   * Decodes crash reports.
+   *
+   * @param row the row
+   * @throws IllegalArgumentException when the value of the row is malformed
+   */
+  public static CrashReports decodeCrashes(Row row) {
+    List<CrashReport> reports = new ArrayList<>();
+    for (JsonNode report : Json.parse(row.value()).path("reports")) {
+      reports.add(
+          new CrashReport(
+              report.path("fingerprint").asText(),
+              report.path("endpoint").asText(),
+              report.path("crash").asText(),
+              report.path("epochMs").asLong()));
+    }
+    return new CrashReports(row.key().substring(CRASH_KEY_PREFIX.length()), reports);
+  }
+
   /**
    * The owner of a batch.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.sycamoretrack.core.process.LongPollWait;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.fleet.Endpoint;
@@ -16,6 +17,7 @@
 import org.sycamoretrack.daemon.client.PartitionedStore;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.version.deployment.ControlTables.CrashReports;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 
@@ -47,6 +49,7 @@
   private final TableWatch endpoints;
   private final TableWatch control;
   private final Runnable onChange;
+  private Consumer<CrashReports> onCrashes = crashes -> {};
   private final Map<String, Endpoint> listed = new HashMap<>();
   private final Map<String, Integer> announcedVersions = new HashMap<>();
   private final Map<String, Owner> owners = new HashMap<>();
@@ -89,6 +92,15 @@
     watches.forEach(watch -> watch.setWaitMs(waitMs));
   }
 
+  /**
+   * Sets the listener of crash reports. To be called before the start.
+   *
+   * @param listener called on the loop with the reports of a node, this one included
+   */
+  public void onCrashes(Consumer<CrashReports> listener) {
+    onCrashes = listener;
+  }
+
   /** Starts to watch the tables. */
   public void start() {
     operators.start();
@@ -316,6 +328,12 @@
     }
 
     private void apply(Row row) {
+      if (ControlTables.isCrashRow(row)) {
+        if (!row.isRemoved()) {
+          onCrashes.accept(ControlTables.decodeCrashes(row));
+        }
+        return;
+      }
       switch (row.key()) {
         case ControlTables.OWNER -> {
           if (row.isRemoved()) {
