Write the observer of a crash into the report to peers

Callers saw: with several nodes, a request that crashes engines cost two of them for each node, and each report closed the connection between two nodes.

Cause: PoisonMessage.read requires the observer, and writeFields left it out, so each report was malformed.

Evidence: PeerCodecTest#decodesCrashReports failed with a malformed frame.

Change: the observer is written. What a message writes is now what it reads.

Result: PeerCodecTest passes.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonMessage.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonMessage.java
@@ -37,6 +37,9 @@
 
   @Override
   public void writeFields(FieldWriter out) {
-    out.string("fingerprint", fingerprint).string("endpoint", endpoint).string("deathId", deathId);
+    out.string("fingerprint", fingerprint)
+        .string("endpoint", endpoint)
+        .string("observer", observer)
+        .string("deathId", deathId);
   }
 }
--- a/daemon/src/test/java/org/sycamoretrack/daemon/connection/PeerCodecTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/connection/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sycamoretrack.daemon.request.PoisonMessage;
 
 /** Tests that {@link PeerCodec} decodes what it encodes and rejects malformed frames. */
 class PeerCodecTest {
@@ -76,6 +77,18 @@
     assertThat(read).usingRecursiveComparison().isEqualTo(withUtf8Strings(sample));
   }
 
+  /**
+   * Guards against crash reports that no peer can read: the observer was not written, so that each
+   * report closed the connection and no node learnt of the crashes that others had seen.
+   */
+  @Test
+  void decodesCrashReports() {
+    codec.register(PoisonMessage.TYPE, PoisonMessage::read);
+    PoisonMessage message = new PoisonMessage("f-1", "engine-1", "node-1", "node-1/engine-1/1");
+
+    assertThat(codec.decode(body(message))).isEqualTo(message);
+  }
+
   /** Replaces unpaired surrogates in the strings, which UTF-8 can't represent. */
   private static Sample withUtf8Strings(Sample sample) {
     return new Sample(
