Send the samples of a step however many engines crash under them

Callers saw: a trainer's step that doesn't end, as one of its samples is refused for 10 minutes after engines crashed under it twice by chance.

Cause: EndpointWorker attributed crashes to samples of steps like to interactive requests, so that the sample was quarantined. Reported by operators of a similar system; items of batches on the users' platform aren't affected.

Evidence: sampleUnderWhichEnginesCrashedIsStillGenerated got a refusal with quarantined before the fix.

Change: crashes don't count against requests of class ROLLOUT. Nothing else refuses a sample, so it is sent until it is generated. The list of quarantined slots in the answer to a poll, and their retry after 30 s, are gone.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.daemon.client.CompletionRequest;
 import org.sycamoretrack.daemon.client.EngineClient;
 import org.sycamoretrack.daemon.client.EngineFailure;
@@ -41,6 +42,14 @@
     return request.fingerprint();
   }
 
+  /**
+   * Returns whether a crash of the endpoint counts against the request. It doesn't for the samples
+   * of a step, which are owed to the trainer and therefore sent until they are generated.
+   */
+  boolean countsCrashes() {
+    return request.requestClass() != RequestClass.ROLLOUT;
+  }
+
   boolean isEnded() {
     return ended;
   }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/EndpointWorker.java
@@ -16,6 +16,7 @@
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.core.request.InFlightCounts;
 import org.sycamoretrack.core.request.LimitSettings;
+import org.sycamoretrack.core.request.PoisonRequestDetector;
 import org.sycamoretrack.core.request.QueueFlow;
 import org.sycamoretrack.daemon.client.EngineClient;
 import org.sycamoretrack.daemon.client.EngineFailure;
@@ -195,7 +196,7 @@
       expire(attempt);
       return;
     }
-    switch (poison.verdict(attempt.fingerprint(), target.name())) {
+    switch (verdict(attempt)) {
       case RUN -> send(attempt);
       case HOLD -> held.add(attempt);
       case QUARANTINED ->
@@ -205,12 +206,26 @@
     }
   }
 
+  private PoisonRequestDetector.Verdict verdict(EndpointAttempt attempt) {
+    return attempt.countsCrashes()
+        ? poison.verdict(attempt.fingerprint(), target.name())
+        : PoisonRequestDetector.Verdict.RUN;
+  }
+
+  private void endWithoutCrash(EndpointAttempt attempt) {
+    if (attempt.countsCrashes()) {
+      poison.onEnd(attempt.fingerprint(), target.name());
+    }
+  }
+
   private void send(EndpointAttempt attempt) {
     running.add(attempt);
     inFlight = inFlight.plus(attempt.request().requestClass());
     limit.onStart();
     stats.onStart(MonotonicClock.nowMs());
-    poison.onStart(attempt.fingerprint(), target.name());
+    if (attempt.countsCrashes()) {
+      poison.onStart(attempt.fingerprint(), target.name());
+    }
     attempt.send(client, target, limits, loop);
   }
 
@@ -233,7 +248,9 @@
     if (removeRunning(attempt)) {
       limit.onSuccess(1, 0);
       stats.onSuccess();
-      poison.onSuccess(attempt.fingerprint(), target.name());
+      if (attempt.countsCrashes()) {
+        poison.onSuccess(attempt.fingerprint(), target.name());
+      }
       attempt.finish(finishReason);
     }
     startNext();
@@ -255,7 +272,7 @@
       closedEarly.add(attempt);
       scheduleCrashCheck();
     } else {
-      poison.onEnd(attempt.fingerprint(), target.name());
+      endWithoutCrash(attempt);
       attempt.failWithPending(false);
     }
     startNext();
@@ -311,7 +328,7 @@
     }
     for (EndpointAttempt attempt : failed) {
       if (!crashed) {
-        poison.onEnd(attempt.fingerprint(), target.name());
+        endWithoutCrash(attempt);
       }
       attempt.failWithPending(crashed);
     }
@@ -331,7 +348,7 @@
     if (removeRunning(attempt)) {
       limit.onCancelled();
       stats.onCancelled();
-      poison.onEnd(attempt.fingerprint(), target.name());
+      endWithoutCrash(attempt);
       attempt.cancelCall();
     } else {
       queue.remove(attempt);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/StepRunner.java
@@ -7,12 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.sycamoretrack.core.connection.EjectionState;
 import org.sycamoretrack.core.connection.EndpointView;
-import org.sycamoretrack.core.process.ErrorCode;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.RequestClass;
 import org.sycamoretrack.core.request.Sample;
@@ -46,7 +43,6 @@
   private static final int GATHER_DELAY_MS = 20;
   private static final int TICK_INTERVAL_MS = 200;
   private static final int RETRY_DELAY_MS = 200;
-  private static final int QUARANTINE_RETRY_DELAY_MS = 30_000;
 
   /** The number of errors of the scorer after which a sample is delivered without a score. */
   private static final int MAX_SCORE_FAILURES = 6;
@@ -59,7 +55,6 @@
   private final EventLoop loop;
   private final StepState state;
   private final Map<Integer, SlotRun> running = new HashMap<>();
-  private final Set<Integer> quarantined = new TreeSet<>();
   private final SampleMover mover = new SampleMover();
   private final ScheduledFuture<?> ticker;
   private TrackSettings trackSettings;
@@ -159,9 +154,6 @@
       services.metrics().onSampleOffered(trainsVersion - sample.oldestVersion());
     }
     ObjectNode response = StepCodec.pollResponse(spec, state.isComplete(), samples);
-    if (!quarantined.isEmpty()) {
-      response.set("quarantined", Json.mapper().valueToTree(quarantined));
-    }
     exchange.respond(HttpResponse.json(200, response));
   }
 
@@ -330,11 +322,6 @@
       return;
     }
     running.remove(run.slot());
-    boolean isQuarantined = failure.code() == ErrorCode.QUARANTINED;
-    int delayMs = isQuarantined ? QUARANTINE_RETRY_DELAY_MS : RETRY_DELAY_MS;
-    if (isQuarantined) {
-      quarantined.add(run.slot());
-    }
     LOG.log(
         System.Logger.Level.WARNING,
         LogEvent.of("sample-failed")
@@ -343,11 +330,10 @@
             .with("slot", run.slot())
             .with("code", failure.code().wireName())
             .with("reason", failure.message()));
-    loop.schedule(() -> retry(run.slot()), delayMs, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> retry(run.slot()), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
   }
 
   private void retry(int slot) {
-    quarantined.remove(slot);
     state.fail(slot);
     dispatch();
   }
