Follow the list of samplers beside an entry that can't be read

Callers saw (reported by operators of a similar system): after another writer left one odd entry among those of the samplers, nodes ended or stopped following the list. Here no node ended, but one followed the list no more.

TableWatch also stopped polling for good when its listener threw.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -168,7 +168,7 @@
   private void onTableRead(TableRead tableRead) {
     version = tableRead.version;
     onResponse(tableRead.sentAtMs);
-    listener.onSnapshot(tableRead.rows);
+    notifyListener(() -> listener.onSnapshot(tableRead.rows));
     pollChanges();
   }
 
@@ -191,7 +191,7 @@
                       version = Math.max(version, changed.version());
                       onResponse(sentAtMs);
                       if (!changed.rows().isEmpty()) {
-                        listener.onChanges(changed.rows());
+                        notifyListener(() -> listener.onChanges(changed.rows()));
                       }
                       pollChanges();
                     }
@@ -207,6 +207,19 @@
                 }));
   }
 
+  /**
+   * Calls the listener. The watch goes on if it throws, for example on a row that it can't read.
+   */
+  private void notifyListener(Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      LOG.log(
+          System.Logger.Level.ERROR,
+          LogEvent.of("rows-not-applied").with("table", table).with("reason", e.toString()));
+    }
+  }
+
   /**
    * Returns when the store first responded after the latest outage, by the monotonic clock; {@link
    * Long#MIN_VALUE} when there was no outage.
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/deployment/TableWatchTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/deployment/TableWatchTest.java
@@ -26,6 +26,7 @@
 /** Tests of {@link TableWatch}. */
 class TableWatchTest {
   private static final String TABLE = "t";
+  private static final String UNREADABLE = "unreadable";
   private static final long TIMEOUT_MS = 2_000;
 
   private final EventLoopGroup group = EventLoops.start("watch", 1);
@@ -150,6 +151,23 @@
     assertThat(store.historyLosses()).isZero();
   }
 
+  /** Guards against a watch that stops because its listener can't apply a row. */
+  @ParameterizedTest
+  @CsvSource({"before the start, 1", "after the start, 0"})
+  void goesOnAfterTheListenerHasThrown(String unused, int rowsAtStart) {
+    InterruptedStore store = new InterruptedStore(0, "");
+    for (int i = 0; i < rowsAtStart; i++) {
+      store.put(UNREADABLE);
+    }
+    Set<String> seen = watch(store);
+    awaitRead(store, 1 + rowsAtStart);
+    store.put(UNREADABLE);
+    awaitSeen(seen, UNREADABLE);
+    store.put("later");
+
+    awaitSeen(seen, "later");
+  }
+
   private Set<String> watch(PartitionedStore store) {
     Set<String> seen = new ConcurrentSkipListSet<>();
     new TableWatch(
@@ -166,6 +184,9 @@
               @Override
               public void onChanges(List<Row> rows) {
                 rows.forEach(row -> seen.add(row.partition()));
+                if (rows.stream().anyMatch(row -> row.partition().equals(UNREADABLE))) {
+                  throw new IllegalStateException("a row that can't be applied");
+                }
               }
             })
         .start();
