Answer each request that was read before a planned stop closes its connection

Cause: StoreBackedNode.stop closed all connections at once when the wait was over, and its responses didn't announce it, so that clients went on using them. Node.stop drained, but closed the last connections at once as well.

Change: ServerDrain, used by both programs: responses close their connections from the signal on, and connections without a request are closed one by one on their event loops. There a connection has either not read the next request, and closes, or has, and answers first.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
@@ -30,14 +30,13 @@
  *
  * <p>On a graceful stop, the node reports that it isn't ready and leaves the membership; after
  * {@value #LEAVE_PROPAGATION_MS} ms the other nodes send it no new work. Then the ports stop
- * accepting connections, requests in flight complete, claims and lease are released, and the
- * process can exit.
+ * accepting connections, requests in flight complete ({@link ServerDrain}), claims and lease are
+ * released, and the process can exit.
  */
 final class Node {
   private static final System.Logger LOG = System.getLogger(Node.class.getName());
   private static final int READY_LOG_INTERVAL_MS = 5_000;
   private static final int LEAVE_PROPAGATION_MS = 1_500;
-  private static final int CONNECTION_CLOSE_GRACE_MS = 300;
   private static final int RELEASE_TIMEOUT_MS = 5_000;
 
   private final NodeSettings settings;
@@ -178,15 +177,18 @@
   void stop() {
     LOG.log(System.Logger.Level.INFO, LogEvent.of("stop-began"));
     stopping = true;
+    ServerDrain drain = new ServerDrain(callerServer, trainerServer);
+    drain.begin();
     controlServices.leave();
     Waiting.until(LEAVE_PROPAGATION_MS, () -> false);
     controlServices.flushJournal();
     requests.stopAccepting();
-    callerServer.drain();
-    trainerServer.drain();
+    drain.stopAccepting();
     requests.closeSteps();
-    boolean allEnded = Waiting.until(settings.limits().stopTimeoutMs(), this::isIdle);
-    Waiting.until(CONNECTION_CLOSE_GRACE_MS, () -> connectionCount() == 0);
+    boolean allEnded =
+        Waiting.until(
+            settings.limits().stopTimeoutMs(),
+            () -> drain.closeIdle() && requests.receivedAttemptCount() == 0);
     CompletableFuture<Void> released =
         controlServices.releaseClaimsAndLease().toCompletableFuture();
     Waiting.until(RELEASE_TIMEOUT_MS, released::isDone);
@@ -194,16 +196,6 @@
     close();
   }
 
-  private boolean isIdle() {
-    return callerServer.inFlightCount() == 0
-        && trainerServer.inFlightCount() == 0
-        && requests.receivedAttemptCount() == 0;
-  }
-
-  private int connectionCount() {
-    return callerServer.connectionCount() + trainerServer.connectionCount();
-  }
-
   private void close() {
     callerServer.close();
     trainerServer.close();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -28,6 +28,7 @@
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
+import org.sycamoretrack.daemon.process.ServerDrain;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
@@ -425,12 +426,14 @@
   }
 
   /**
-   * Stops gracefully: accepts no new connections, hands over batches and the order lease to other
-   * nodes, and lets requests in flight complete within the grace period.
+   * Stops gracefully: hands over batches and the order lease to other nodes, closes connections as
+   * {@link ServerDrain} does, and lets requests in flight complete within the grace period.
    */
   public void stop() {
     long startedMs = MonotonicClock.nowMs();
     stopping = true;
+    ServerDrain drain = new ServerDrain(callerServer);
+    drain.begin();
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopping"));
     CompletableFuture<Void> handedOver = new CompletableFuture<>();
     trafficLoop.execute(
@@ -444,8 +447,12 @@
     controlLoop.execute(loadCommandService::release);
     long endMs = startedMs + settings.graceMs() - STOP_MARGIN_MS;
     await(handedOver, endMs - MonotonicClock.nowMs());
-    while (MonotonicClock.nowMs() < endMs
-        && (MonotonicClock.nowMs() < startedMs + MIN_STOP_MS || callerServer.inFlightCount() > 0)) {
+    long acceptUntilMs = Math.min(endMs, startedMs + MIN_STOP_MS);
+    while (MonotonicClock.nowMs() < acceptUntilMs) {
+      await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
+    }
+    drain.stopAccepting();
+    while (MonotonicClock.nowMs() < endMs && !drain.closeIdle()) {
       await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
     }
     registry.stop();
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
@@ -54,15 +54,33 @@
     channel.close().awaitUninterruptibly();
   }
 
+  /**
+   * Closes each connection after its next response, which says so. Connections are still accepted,
+   * and requests that arrive on them are handled.
+   */
+  public void closeAfterResponses() {
+    state.drain();
+  }
+
   /**
    * Stops accepting connections and closes each open connection after its next response. Requests
    * that arrive on open connections until then are handled.
    */
   public void drain() {
-    state.drain();
+    closeAfterResponses();
     stopAccepting();
   }
 
+  /** Closes the connections on which no request is in progress or being received. */
+  public void closeIdleConnections() {
+    for (Channel connection : connections) {
+      ServerConnection handler = connection.pipeline().get(ServerConnection.class);
+      if (handler != null) {
+        connection.eventLoop().execute(() -> handler.closeIfIdle(connection));
+      }
+    }
+  }
+
   /** Returns the number of requests being handled. */
   public int inFlightCount() {
     return state.inFlight().get();
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -142,6 +143,14 @@
     }
   }
 
+  /** Closes the connection unless a request is in progress or has arrived in part. */
+  void closeIfIdle(Channel channel) {
+    if (current == null && head == null) {
+      closing = true;
+      channel.close();
+    }
+  }
+
   /** Returns whether the connection is to be closed after the current response. */
   boolean closesAfterResponse() {
     return server.isDraining() && pipelined.isEmpty();
