Keep the rest of the hand-over delay of the order lease in its row

Cause: a new process of the host that holds the lease gave orders at once, also if the process before it had not yet waited out the previous holder.

Evidence: OrderLeaseTest#restartedProcessWaitsForTheRestOfTheDelay, killed at once and after 700 ms, sent within less than 3 s of the release before.

Change: each write of the row says how much of the delay is left, and the new process waits for that. The row is what both processes share, and its writer is the only one who knows the previous holder's last moment.

Result: the test passes, and a holder that had waited still reclaims at once.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
@@ -238,15 +238,30 @@
         json.path("leaving").asBoolean());
   }
 
-  /** Encodes a lease with the host that holds it. */
-  public static byte[] encode(Lease.Row lease, String holder) {
+  /**
+   * Encodes a lease.
+   *
+   * @param lease the lease
+   * @param holder the host that holds it
+   * @param handoverRemainingMs how much longer the holder must wait after the previous holder
+   */
+  public static byte[] encode(Lease.Row lease, String holder, long handoverRemainingMs) {
     return Json.toBytes(
         Json.object()
             .put("holder", holder)
             .put("epoch", lease.epoch())
             .put("incarnation", lease.incarnation())
             .put("sequence", lease.sequence())
-            .put("released", lease.released()));
+            .put("released", lease.released())
+            .put("handoverRemainingMs", handoverRemainingMs));
+  }
+
+  /**
+   * Returns how much longer the holder of a lease had to wait after the previous holder when it
+   * wrote the row, or a default when the row doesn't say so.
+   */
+  public static long decodeHandoverRemainingMs(Row row, long defaultMs) {
+    return Json.parse(row.value()).path("handoverRemainingMs").asLong(defaultMs);
   }
 
   /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -26,7 +26,8 @@
  * renewal was sent, both with the monotonic and with the wall clock, and uses the larger value,
  * since the monotonic clock stops while the host is suspended. After acquiring the lease, a new
  * holder delays its first command, so that at least {@value #HANDOVER_DELAY_MS} ms pass between
- * commands of two holders.
+ * commands of two holders. The row says how much of this delay is left, so that a new process of
+ * the host that holds the lease waits for the rest of it.
  *
  * <p>Confined to the control loop.
  */
@@ -188,7 +189,10 @@
         reclaiming = earlierProcess;
         if (lease.epoch() == 0) {
           long waitedMs = found.released() ? 0 : EXPIRY_WAIT_MS;
-          handoverDelayMs = earlierProcess ? 0 : HANDOVER_DELAY_MS - waitedMs;
+          handoverDelayMs =
+              earlierProcess
+                  ? ControlTables.decodeHandoverRemainingMs(row, HANDOVER_DELAY_MS)
+                  : HANDOVER_DELAY_MS - waitedMs;
         }
         return earlierProcess
             ? new Lease.Row(
@@ -200,13 +204,24 @@
     return Lease.Row.NONE;
   }
 
+  /**
+   * Returns the rest of the delay after the previous holder; all of it before the lease is held.
+   */
+  private long handoverRemainingMs() {
+    long elapsedMs = lease.epoch() > 0 ? MonotonicClock.nowMs() - takenAtMs : 0;
+    return Math.max(0, handoverDelayMs - elapsedMs);
+  }
+
   private void write(Lease.Row row) {
     sentMonotonicMs = MonotonicClock.nowMs();
     sentWallClockMs = System.currentTimeMillis();
     PartitionWrite write =
         PartitionWrite.in(ControlTables.ORDERS)
             .expect(ControlTables.CONTROL, ControlTables.LEASE, row.version())
-            .put(ControlTables.CONTROL, ControlTables.LEASE, ControlTables.encode(row, holder))
+            .put(
+                ControlTables.CONTROL,
+                ControlTables.LEASE,
+                ControlTables.encode(row, holder, handoverRemainingMs()))
             .build();
     Failures.withTimeout(store.commit(write), loop, CALL_TIMEOUT_MS)
         .whenComplete(
