Wait after each term of another holder of the order lease

Callers saw: nothing yet; the review read it. Orders of two holders may be close to each other after an outage of the store.

Cause: OrderLease.findLease set the delay only while no epoch was held. A holder that found the lease released by another one took it again with the delay of its earlier term, which is none after a restart. A take-over with an unknown outcome read its own row and shortened its delay as if a lease had expired.

Evidence: OrderLeaseTest#formerHolderWaitsAfterATermOfAnotherHolder sent at once before.

Change: the delay follows the row that was found last if another host wrote it. A term of another host is always read before the lease is taken from it.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
@@ -187,12 +187,10 @@
         boolean sameHost = ControlTables.decodeHolder(row).equals(holder);
         boolean earlierProcess = sameHost && !found.incarnation().equals(incarnation);
         reclaiming = earlierProcess;
-        if (lease.epoch() == 0) {
-          long waitedMs = found.released() ? 0 : EXPIRY_WAIT_MS;
-          handoverDelayMs =
-              earlierProcess
-                  ? ControlTables.decodeHandoverRemainingMs(row, HANDOVER_DELAY_MS)
-                  : HANDOVER_DELAY_MS - waitedMs;
+        if (earlierProcess) {
+          handoverDelayMs = ControlTables.decodeHandoverRemainingMs(row, HANDOVER_DELAY_MS);
+        } else if (!sameHost) {
+          handoverDelayMs = HANDOVER_DELAY_MS - (found.released() ? 0 : EXPIRY_WAIT_MS);
         }
         return earlierProcess
             ? new Lease.Row(
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/weights/OrderLeaseTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/weights/OrderLeaseTest.java
@@ -46,6 +46,10 @@
           new Row(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.LEASE, value, version);
     }
 
+    private synchronized void setAway(boolean newAway) {
+      away = newAway;
+    }
+
     private static <T> CompletionStage<T> failed() {
       return CompletableFuture.failedFuture(
           new SycamoreException(
@@ -175,4 +179,25 @@
 
     assertThat(elapsedMs(startNanos)).isLessThan(LEASE_MS / 2);
   }
+
+  /**
+   * Guards against the delay of an earlier term: a holder that had no delay lost the store, another
+   * one held and released the lease meanwhile, and the first one took it again without a delay.
+   */
+  @Test
+  void formerHolderWaitsAfterATermOfAnotherHolder() {
+    store.set(row(5, "a-1", false), "a", 0);
+    LeaseProcess process = new LeaseProcess("a", "a-2");
+    process.await(OrderLease::maySendLoadCommands);
+    store.setAway(true);
+    process.await(lease -> !lease.isHeld());
+    store.set(row(7, "x-1", true), "x", 0);
+    long releasedNanos = System.nanoTime();
+    store.setAway(false);
+
+    process.await(lease -> lease.epoch() == 8);
+    process.await(OrderLease::maySendLoadCommands);
+
+    assertThat(elapsedMs(releasedNanos)).isGreaterThanOrEqualTo(LEASE_MS);
+  }
 }
