Publish a leaving endpoint after the rows that named it are applied

Cause: a report of a leaving endpoint published the view while the control table was being read again, with only a part of the owners, so that a node could have taken the owner rows of its batches for removed. Found while reading the diff; no caller saw it.

Change: the view is published in the next task of the control loop.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -124,7 +124,8 @@
             .with("startedAtMs", startedAtMs)
             .with("source", source));
     listed.computeIfPresent(id, (unused, endpoint) -> leaving.apply(endpoint));
-    publish();
+    // Not at once: this may be called while the rows of a table are being applied.
+    loop.execute(this::publish);
     return true;
   }
 
