Ignore reports of crashes that a success has cleared

Cause: the row of a node holds all its reports, so each change of it repeats older ones. A repeated report made a request a suspect again that had succeeded since, and beside a later crash by chance it was quarantined.

Evidence: PoisonRequestDetectorTest#reportOfAClearedCrashDoesNotCountAgain failed before.

Change: the detector remembers the crashes that a success has cleared, for as long as their reports may count, and the row is written without reports that no longer count. The age limit of a report is the guard's own constant.

--- a/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
@@ -26,9 +26,10 @@
  * another suspect on their endpoint, succeed, and are no longer suspects.
  *
  * <p>Each record carries the id of its crash, so that records from other nodes can be merged in any
- * order and any number of times. Several nodes may observe the same crash, each under an id of its
- * own: crashes of one endpoint that were observed by different nodes less than {@value
- * #SAME_CRASH_WINDOW_MS} ms apart count as one. Not thread-safe.
+ * order and any number of times, also after a success has cleared the request of that crash.
+ * Several nodes may observe the same crash, each under an id of its own: crashes of one endpoint
+ * that were observed by different nodes less than {@value #SAME_CRASH_WINDOW_MS} ms apart count as
+ * one. Not thread-safe.
  */
 public final class PoisonRequestDetector {
   private static final int QUARANTINE_CRASHES = 2;
@@ -45,6 +46,11 @@
   private final Map<String, CrashHistory> crashesByFingerprint = new HashMap<>();
   private final Map<String, Map<String, Integer>> runningByEndpoint = new HashMap<>();
 
+  /** When the crashes were cleared that no longer count against a request. */
+  private final Map<ClearedCrash, Long> clearedAtMs = new HashMap<>();
+
+  private record ClearedCrash(String fingerprint, String deathId) {}
+
   /** States whether a request may run on an endpoint. */
   public enum Verdict {
     /** The request may run. */
@@ -138,7 +144,11 @@
   public void onSuccess(String fingerprint, String endpoint, long nowMs) {
     onEnd(fingerprint, endpoint);
     if (!isQuarantined(fingerprint, nowMs)) {
-      crashesByFingerprint.remove(fingerprint);
+      CrashHistory cleared = crashesByFingerprint.remove(fingerprint);
+      if (cleared != null) {
+        cleared.crashIds.forEach(
+            deathId -> clearedAtMs.put(new ClearedCrash(fingerprint, deathId), nowMs));
+      }
     }
   }
 
@@ -188,6 +198,10 @@
    * @param crashRecord the record
    */
   public void merge(CrashRecord crashRecord) {
+    if (clearedAtMs.containsKey(
+        new ClearedCrash(crashRecord.fingerprint(), crashRecord.deathId()))) {
+      return;
+    }
     CrashHistory history =
         crashesByFingerprint.computeIfAbsent(crashRecord.fingerprint(), key -> new CrashHistory());
     boolean isNewCrash =
@@ -262,6 +276,7 @@
     crashesByFingerprint
         .keySet()
         .removeIf(key -> !isQuarantined(key, nowMs) && !isSuspect(key, nowMs));
+    clearedAtMs.values().removeIf(atMs -> nowMs >= atMs + Math.max(crashTtlMs, quarantineMs));
   }
 
   private boolean hasRunningSuspect(String endpoint, long nowMs) {
--- a/core/src/test/java/org/sycamoretrack/core/request/PoisonRequestDetectorTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/request/PoisonRequestDetectorTest.java
@@ -53,6 +53,27 @@
     assertThat(detector.verdict("p", "y", 0)).isEqualTo(RUN);
   }
 
+  /**
+   * Guards against quarantining a sound request: the report of a crash that a success had cleared
+   * arrived again, and counted beside a later crash.
+   */
+  @Test
+  void reportOfAClearedCrashDoesNotCountAgain() {
+    detector.onStart("a", "x");
+    PoisonRequestDetector.CrashRecord crashRecord =
+        detector.onEndpointCrash("x", "x@1", 0).getFirst();
+    detector.onStart("a", "y");
+    detector.onSuccess("a", "y", 100);
+
+    detector.merge(crashRecord);
+    assertThat(detector.isSuspect("a", 200)).isFalse();
+    detector.onStart("a", "z");
+    detector.onEndpointCrash("z", "z@1", 5_000);
+    detector.merge(crashRecord);
+    assertThat(detector.isQuarantined("a", 5_000)).isFalse();
+    assertThat(detector.isSuspect("a", 5_000)).isTrue();
+  }
+
   @Test
   void repeatedReportsOfOneCrashCountOnce() {
     detector.onStart("p", "x");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/SharedEndpointReports.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/SharedEndpointReports.java
@@ -38,9 +38,6 @@
   /** A row is only rewritten to shrink it when that is worth a write. */
   private static final long TIDY_INTERVAL_MS = 30_000;
 
-  /** Crashes reported by a node that left for good stay in its row; older ones are ignored. */
-  private static final long MAX_CRASH_AGE_MS = 600_000;
-
   private static final System.Logger LOG = System.getLogger(SharedEndpointReports.class.getName());
 
   private final PartitionedStore store;
@@ -100,12 +97,13 @@
 
   /**
    * Called with the reports of a node when its row was read or has changed. Those of an earlier
-   * process of this node count as well.
+   * process of this node count as well. Crashes that are too old are ignored, as they stay in the
+   * row of a node that left for good.
    */
   void onReports(EndpointReports reports) {
     long nowEpochMs = System.currentTimeMillis();
     for (CrashReport crash : reports.crashes()) {
-      if (nowEpochMs - crash.epochMs() < MAX_CRASH_AGE_MS) {
+      if (nowEpochMs - crash.epochMs() < PoisonGuard.QUARANTINE_MS) {
         poison.merge(
             new PoisonMessage(
                 crash.fingerprint(), crash.endpoint(), reports.observer(), crash.crashId()));
@@ -123,13 +121,18 @@
     if (nowMs >= tidyAtMs) {
       tidyAtMs = nowMs + TIDY_INTERVAL_MS;
       poison.expire();
-      changed |= crashes.removeIf(crash -> !poison.isAccused(crash.fingerprint()));
-      Fleet fleet = watch.view().fleet();
-      changed |= leaving.removeIf(report -> hasEnded(report, fleet));
+      changed |= removeOutdated();
     }
     writeIfChanged();
   }
 
+  /** Removes the reports that no longer matter and returns whether there were any. */
+  private boolean removeOutdated() {
+    Fleet fleet = watch.view().fleet();
+    boolean cleared = crashes.removeIf(crash -> !poison.isAccused(crash.fingerprint()));
+    return leaving.removeIf(report -> hasEnded(report, fleet)) || cleared;
+  }
+
   private static boolean hasEnded(LeavingReport report, Fleet fleet) {
     Endpoint listed = fleet.find(report.endpoint());
     return listed == null || listed.startedAtMs() != report.startedAtMs();
@@ -141,6 +144,7 @@
     }
     changed = false;
     writing = true;
+    removeOutdated();
     String key = ControlTables.reportKey(nodeId);
     PartitionWrite.Builder write = PartitionWrite.in(ControlTables.REPORTS);
     if (crashes.isEmpty() && leaving.isEmpty()) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
@@ -16,7 +16,10 @@
  */
 public final class PoisonGuard {
   private static final System.Logger LOG = System.getLogger(PoisonGuard.class.getName());
-  private static final long QUARANTINE_MS = 600_000;
+
+  /** How long a request is refused after its latest crash. */
+  public static final long QUARANTINE_MS = 600_000;
+
   private static final long CRASH_TTL_MS = 120_000;
 
   private final String nodeId;
