Log and count data of endpoints that is no response to the request

Cause: the record of the incident couldn't tell how a caller got a success where its sampler had failed. The node logged neither successful requests nor responses that it skipped.

Change: HttpClient reports stray responses (of another request, with no request waiting, with a head that contains a second status line) to a listener; StoreBackedNode logs them as stray-response and counts them in stray_responses_total. ForwardedCall logs request-answered. What is done with such a response stays as it was.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -101,6 +101,11 @@
           "endpoints_leaving_total",
           "Endpoints that said that they are leaving, by how this node learnt of it",
           "source");
+  private final Counter strayResponses =
+      registry.counter(
+          "stray_responses_total",
+          "Responses of endpoints that aren't the response to the current request",
+          "kind");
   private final AtomicInteger openBatches = new AtomicInteger();
 
   /** Creates metrics with all counters at zero. */
@@ -138,6 +143,11 @@
     endpointsLeaving.labelValues(source).inc();
   }
 
+  /** Records response data that isn't the response to the current request. */
+  public void onStrayResponse(Enum<?> kind) {
+    strayResponses.labelValues(MetricsRegistry.label(kind)).inc();
+  }
+
   /**
    * Records the outcome of a call.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
@@ -5,6 +5,7 @@
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.PartitionedStore;
 import org.sycamoretrack.transport.request.HttpHandler;
+import org.sycamoretrack.transport.request.StrayResponse;
 
 /**
  * Adapts a node to a platform: provides clients of its store and endpoints, and handlers for its
@@ -23,8 +24,12 @@
    *
    * @param group the event loops on which its stages complete
    * @param leavingListener called on these loops when an endpoint says that it is leaving
+   * @param strayListener receives the data of endpoints that isn't the response to a request
    */
-  EndpointClient endpoints(EventLoopGroup group, EndpointClient.LeavingListener leavingListener);
+  EndpointClient endpoints(
+      EventLoopGroup group,
+      EndpointClient.LeavingListener leavingListener,
+      StrayResponse.Listener strayListener);
 
   /** Returns the codec for the rows that operators, trainers and endpoints write. */
   DeploymentCodec codec();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -42,6 +42,7 @@
 import org.sycamoretrack.transport.connection.HttpServer;
 import org.sycamoretrack.transport.process.Json;
 import org.sycamoretrack.transport.request.HttpHandler;
+import org.sycamoretrack.transport.request.StrayResponse;
 
 /**
  * A node that keeps its state in the platform's store: it forwards plain requests, stores and runs
@@ -204,10 +205,24 @@
   }
 
   private EndpointClient endpointClient(PlatformAdapter adapter, EventLoopGroup group) {
-    EndpointClient client = adapter.endpoints(group, endpointReports::onLeaving);
+    EndpointClient client =
+        adapter.endpoints(group, endpointReports::onLeaving, this::onStrayResponse);
     return new MeteredEndpointClient(client, metrics);
   }
 
+  private void onStrayResponse(StrayResponse response) {
+    metrics.onStrayResponse(response.kind());
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("stray-response")
+            .with("address", response.address())
+            .with("kind", response.kind())
+            .with("request", response.requestId())
+            .with("target", response.target())
+            .with("responseId", response.responseId())
+            .with("status", response.status()));
+  }
+
   private BatchComponents createComponents(PlatformAdapter adapter) {
     PartitionedStore trafficStore =
         new RelayedStore(
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -166,6 +166,7 @@
           onAttemptFailed(endpoint);
         } else {
           forwarder.tracker().onFinished(endpoint.id());
+          logAnswered(endpoint, answered.response().status());
           end(new ForwardOutcome.Answered(answered.response()));
         }
       }
@@ -191,6 +192,17 @@
     }
   }
 
+  private void logAnswered(Endpoint endpoint, int status) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("request-answered")
+            .with("request", request.requestId())
+            .with("endpoint", endpoint.id())
+            .with("status", status)
+            .with("tried", List.copyOf(tried))
+            .with("elapsedMs", MonotonicClock.nowMs() - startedMs));
+  }
+
   private void recordLoad(Endpoint endpoint, EndpointClient.LoadReport load, long nowMs) {
     if (load != null) {
       forwarder.tracker().onReport(endpoint.id(), load.running(), load.waiting(), nowMs);
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -15,9 +15,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.sycamoretrack.transport.request.HttpException;
 import org.sycamoretrack.transport.request.HttpRequest;
+import org.sycamoretrack.transport.request.StrayResponse;
 
 /**
  * Channel handler for the client side of one connection, which carries one call at a time.
@@ -36,15 +39,25 @@
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
+  /** A status line, which starts a response. */
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
+  private final InetSocketAddress address;
   private final Consumer<ClientConnection> onIdle;
+  private final StrayResponse.Listener strayListener;
   private ChannelHandlerContext ctx;
   private ClientExchange exchange;
   private boolean keepAlive;
   private boolean skippingResponse;
   private String lastEchoedValue;
 
-  ClientConnection(Consumer<ClientConnection> onIdle) {
+  ClientConnection(
+      InetSocketAddress address,
+      Consumer<ClientConnection> onIdle,
+      StrayResponse.Listener strayListener) {
+    this.address = address;
     this.onIdle = onIdle;
+    this.strayListener = strayListener;
   }
 
   @Override
@@ -107,6 +120,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (exchange == null) {
+      if (message instanceof HttpResponse response) {
+        reportStray(StrayResponse.Kind.NO_REQUEST, response);
+      }
       context.close();
       return;
     }
@@ -125,8 +141,15 @@
 
   /** Returns whether the content that follows is the body of the response to this request. */
   private boolean onHead(HttpResponse response) {
+    if (isJoined(response)) {
+      reportStray(StrayResponse.Kind.JOINED_HEAD, response);
+    }
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    skippingResponse = informational || isResponseToEarlierRequest(response);
+    boolean earlier = isResponseToEarlierRequest(response);
+    skippingResponse = informational || earlier;
+    if (earlier) {
+      reportStray(StrayResponse.Kind.OTHER_REQUEST, response);
+    }
     if (skippingResponse) {
       return false;
     }
@@ -144,6 +167,34 @@
     return true;
   }
 
+  /** Returns whether a head contains the status line of another response. */
+  private static boolean isJoined(HttpResponse response) {
+    return containsStatusLine(response.status().reasonPhrase())
+        || response.headers().entries().stream()
+            .anyMatch(header -> containsStatusLine(header.getValue()));
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return STATUS_LINE.matcher(text).find();
+  }
+
+  private void reportStray(StrayResponse.Kind kind, HttpResponse response) {
+    HttpRequest request = exchange == null ? null : exchange.request();
+    String requestId = request == null ? null : echoedValue(request);
+    String responseId =
+        request == null || request.echoedHeader() == null
+            ? null
+            : response.headers().get(request.echoedHeader());
+    strayListener.onStrayResponse(
+        new StrayResponse(
+            address,
+            kind,
+            request == null ? "" : request.target(),
+            Objects.requireNonNullElse(requestId, ""),
+            response.decoderResult().isFailure() ? 0 : response.status().code(),
+            Objects.requireNonNullElse(responseId, "")));
+  }
+
   private boolean isResponseToEarlierRequest(HttpResponse response) {
     String name = exchange.request().echoedHeader();
     String echoed = name == null ? null : response.headers().get(name);
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -24,6 +24,7 @@
 import org.sycamoretrack.transport.request.HttpRequest;
 import org.sycamoretrack.transport.request.HttpResponse;
 import org.sycamoretrack.transport.request.HttpResponseListener;
+import org.sycamoretrack.transport.request.StrayResponse;
 
 /**
  * An HTTP/1.1 client over Netty's codec, with a pool of idle connections for each event loop.
@@ -37,21 +38,39 @@
 public final class HttpClient {
   private static final int MAX_IDLE_PER_ADDRESS = 64;
   private static final int MAX_COLLECTED_BODY_BYTES = 16 << 20;
+  private static final System.Logger LOG = System.getLogger(HttpClient.class.getName());
 
   private final EventLoopGroup group;
   private final int connectTimeoutMs;
+  private final StrayResponse.Listener strayListener;
   private final Map<EventLoop, Map<InetSocketAddress, Deque<ClientConnection>>> idle =
       new ConcurrentHashMap<>();
 
   /**
-   * Creates a client.
+   * Creates a client that logs stray responses.
    *
    * @param group the event loops that handle its connections
    * @param connectTimeoutMs the timeout for opening a connection, in milliseconds
    */
   public HttpClient(EventLoopGroup group, int connectTimeoutMs) {
+    this(
+        group,
+        connectTimeoutMs,
+        response -> LOG.log(System.Logger.Level.INFO, "stray response: {0}", response));
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param group the event loops that handle its connections
+   * @param connectTimeoutMs the timeout for opening a connection, in milliseconds
+   * @param strayListener receives the data that isn't the response to a request of this client
+   */
+  public HttpClient(
+      EventLoopGroup group, int connectTimeoutMs, StrayResponse.Listener strayListener) {
     this.group = group;
     this.connectTimeoutMs = connectTimeoutMs;
+    this.strayListener = strayListener;
   }
 
   /**
@@ -181,7 +200,8 @@
   private void connect(ClientExchange exchange, EventLoop loop) {
     InetSocketAddress address = exchange.request().address();
     ClientConnection connection =
-        new ClientConnection(completed -> release(completed, loop, address));
+        new ClientConnection(
+            address, completed -> release(completed, loop, address), strayListener);
     ChannelFuture future =
         new Bootstrap()
             .group(loop)
