Keep the bytes of a late copy out of the outcome of the next request

Cause: on a kept connection the client tells a late copy of an earlier response from the due one by the echoed request id alone. A copy that breaks off within its head has the next head as its continuation: the first status line stands, the id is the right one. A response without an id, such as a refusal, has nothing by which its copy could be told.

Change: a head that contains a second status line is malformed. After a response without the echo that was asked for, and after a call without an id, the connection carries no further request with an id. A response to another request that is skipped must have a length.

It works since the bytes of a copy can only come before the due status line, and that line now either starts a response or makes the head invalid.

--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -30,10 +30,18 @@
  * malformed unless the request allows it.
  *
  * <p>A server may send an extra copy of a response late, where the response to the next request is
- * due. If the request names a header that the server echoes, a response whose echo differs is
- * skipped. If the next request has the same value, for example the same request sent again, the
- * echo doesn't distinguish the copy, so such a request needs another connection ({@link
- * #lastCarried}).
+ * due, and the copy may break off. The bytes of the copy must not become part of the outcome of the
+ * next request:
+ *
+ * <ul>
+ *   <li>If the request names a header that the server echoes, a response whose echo differs is
+ *       skipped.
+ *   <li>If the next request has the same value, for example the same request sent again, or if the
+ *       last response had no echo, a copy can't be told from the next response. Such a connection
+ *       carries no further request with an echoed value ({@link #mayCarry}).
+ *   <li>A copy that breaks off within its head is joined with the head of the next response. The
+ *       result contains a second status line and is rejected as malformed.
+ * </ul>
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int NO_CONTENT = 204;
@@ -73,10 +81,10 @@
     ctx.close();
   }
 
-  /** Returns whether the last request on this connection can't be told from another by the echo. */
-  boolean lastCarried(HttpRequest request) {
+  /** Returns whether a late copy of the last response could be told from that to a request. */
+  boolean mayCarry(HttpRequest request) {
     String value = echoedValue(request);
-    return value != null && value.equals(lastEchoedValue);
+    return value == null || (lastEchoedValue != null && !value.equals(lastEchoedValue));
   }
 
   /** Returns the value that the server echoes in the response, or null if there is none. */
@@ -143,6 +151,8 @@
   private boolean onHead(HttpResponse response) {
     if (isJoined(response)) {
       reportStray(StrayResponse.Kind.JOINED_HEAD, response);
+      fail(HttpException.Kind.MALFORMED, "the head is joined from two responses");
+      return false;
     }
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     boolean earlier = isResponseToEarlierRequest(response);
@@ -150,19 +160,21 @@
     if (earlier) {
       reportStray(StrayResponse.Kind.OTHER_REQUEST, response);
     }
-    if (skippingResponse) {
-      return false;
-    }
     boolean lengthDefined = isBodiless(response) || hasDefinedLength(response);
-    if (!lengthDefined && !exchange.request().allowsCloseDelimitedBody()) {
+    boolean lengthRequired = skippingResponse || !exchange.request().allowsCloseDelimitedBody();
+    if (!lengthDefined && !informational && lengthRequired) {
       fail(
           HttpException.Kind.MALFORMED,
           "the response has neither a content length nor chunked encoding");
       return false;
     }
+    if (skippingResponse) {
+      return false;
+    }
     int status = response.status().code();
     boolean reusable = exchange.request().headListener().onHead(status, response.headers());
-    keepAlive = reusable && lengthDefined && HttpUtil.isKeepAlive(response);
+    keepAlive =
+        reusable && lengthDefined && isIdentified(response) && HttpUtil.isKeepAlive(response);
     exchange.listener().onHead(status, response.headers());
     return true;
   }
@@ -201,6 +213,12 @@
     return echoed != null && !echoed.equals(echoedValue(exchange.request()));
   }
 
+  /** Returns whether a late copy of a response could be told from other responses by its echo. */
+  private boolean isIdentified(HttpResponse response) {
+    HttpRequest request = exchange.request();
+    return echoedValue(request) == null || response.headers().contains(request.echoedHeader());
+  }
+
   private boolean isBodiless(HttpResponse response) {
     int status = response.status().code();
     return status == NO_CONTENT
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -185,7 +185,7 @@
     connections.removeIf(connection -> !connection.isActive());
     ClientConnection usable =
         connections.stream()
-            .filter(connection -> !connection.lastCarried(request))
+            .filter(connection -> connection.mayCarry(request))
             .findFirst()
             .orElse(null);
     connections.remove(usable);
