Limit the memory that responses of endpoints may take

Callers saw: a sampler that sends a body until its caller closes takes the memory of the node that called it, and with it the requests of other callers.

Cause: each call collected up to 16 MB in a buffer that doubles, and nothing limited the sum of the calls. Bodies of skipped responses and informational responses were limited by time only, and the bytes after a failure were still decoded and logged as stray responses.

Each request has maxResponseBytes, which covers skipped bodies too, and 64 responses may be skipped. A call over a limit fails as too large, its connection is closed, and the endpoint counts as failing. A connection is read once in an iteration of its event loop. A listener fails a call by an HttpException, which needs no reference to the call. Node gets a budget of half of its heap.

Evidence: EndlessResponseTest, a process with the heap of deploy/system.toml and four faulty samplers.

Why it works: k responses that grow without end hold 1/(k+1) of the budget each, and as much stays free for sound ones (MemoryBudgetTest, FaultyResponseTest).

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/Node.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import org.sycamoretrack.core.connection.MemoryBudget;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.request.RequestComponents;
@@ -39,6 +40,9 @@
   private static final int LEAVE_PROPAGATION_MS = 1_500;
   private static final int RELEASE_TIMEOUT_MS = 5_000;
 
+  /** The part of the heap that responses of other services may take while they are received. */
+  private static final int HEAP_PER_RESPONSE_MEMORY = 2;
+
   private final NodeSettings settings;
   private final EventLoopGroup loops;
   private final ControlAgent control = ControlServices.newControlAgent();
@@ -55,7 +59,9 @@
     this.settings = settings;
     this.loops = EventLoops.start("traffic", settings.limits().trafficThreads());
     this.link = listenForPeers();
-    HttpClient client = new HttpClient(loops, settings.limits().connectTimeoutMs());
+    MemoryBudget responseMemory =
+        new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_RESPONSE_MEMORY);
+    HttpClient client = new HttpClient(loops, settings.limits().connectTimeoutMs(), responseMemory);
     String incarnation = UUID.randomUUID().toString();
     this.controlServices =
         new ControlServices(
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -42,10 +42,14 @@
  *   <li>A copy that breaks off within its head is joined with the head of the next response. The
  *       result contains a second status line and is rejected as malformed.
  * </ul>
+ *
+ * <p>A server may send bytes without end. The codec limits heads, trailers and chunk extensions;
+ * skipped responses are limited in number, and in size like the response itself.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
+  private static final int MAX_SKIPPED_RESPONSES = 64;
 
   /** A status line, which starts a response. */
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
@@ -57,6 +61,9 @@
   private ClientExchange exchange;
   private boolean keepAlive;
   private boolean skippingResponse;
+  private int skippedResponses;
+  private long skippedBytes;
+  private boolean closing;
   private String lastEchoedValue;
 
   ClientConnection(
@@ -78,6 +85,7 @@
   }
 
   void close() {
+    closing = true;
     ctx.close();
   }
 
@@ -95,6 +103,8 @@
   /** Sends the request of a call. The connection must be open and carry no other call. */
   void send(ClientExchange newExchange) {
     exchange = newExchange;
+    skippedResponses = 0;
+    skippedBytes = 0;
     lastEchoedValue = echoedValue(newExchange.request());
     newExchange.attachChannel(ctx.channel());
     ctx.writeAndFlush(encode(newExchange.request()))
@@ -127,11 +137,14 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (closing) {
+      return;
+    }
     if (exchange == null) {
       if (message instanceof HttpResponse response) {
         reportStray(StrayResponse.Kind.NO_REQUEST, response);
       }
-      context.close();
+      close();
       return;
     }
     exchange.onRead();
@@ -142,8 +155,19 @@
     if (message instanceof HttpResponse response && !onHead(response)) {
       return;
     }
-    if (message instanceof HttpContent content && !skippingResponse) {
-      onContent(content);
+    if (message instanceof HttpContent content) {
+      if (skippingResponse) {
+        skip(content);
+      } else {
+        onContent(content);
+      }
+    }
+  }
+
+  private void skip(HttpContent content) {
+    skippedBytes += content.content().readableBytes();
+    if (skippedBytes > exchange.request().maxResponseBytes()) {
+      fail(HttpException.Kind.TOO_LARGE, "the responses to other requests are too large");
     }
   }
 
@@ -169,6 +193,10 @@
       return false;
     }
     if (skippingResponse) {
+      skippedResponses++;
+      if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        fail(HttpException.Kind.TOO_LARGE, "too many responses precede the one to the request");
+      }
       return false;
     }
     int status = response.status().code();
@@ -246,7 +274,7 @@
       ctx.channel().config().setAutoRead(true);
       onIdle.accept(this);
     } else {
-      ctx.close();
+      close();
     }
     ended.succeed();
   }
@@ -254,7 +282,7 @@
   private void fail(HttpException.Kind kind, String message) {
     ClientExchange failed = exchange;
     exchange = null;
-    ctx.close();
+    close();
     if (failed != null) {
       failed.fail(new HttpException(kind, true, message));
     }
@@ -268,6 +296,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail(HttpException.Kind.CLOSED_EARLY, "the connection failed: " + cause.getMessage());
+    if (cause instanceof HttpException failure) {
+      fail(failure.kind(), failure.getMessage());
+    } else {
+      fail(HttpException.Kind.CLOSED_EARLY, "the connection failed: " + cause.getMessage());
+    }
   }
 }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpClient.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.transport.connection;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -19,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import org.sycamoretrack.core.connection.MemoryBudget;
 import org.sycamoretrack.transport.request.HttpCall;
 import org.sycamoretrack.transport.request.HttpException;
 import org.sycamoretrack.transport.request.HttpRequest;
@@ -34,29 +36,44 @@
  * on the event loop that opened them, so the pool needs no lock. The client never retries a
  * request: after a connection failure the caller decides whether to send it again, based on {@link
  * HttpException#maybeSent()}.
+ *
+ * <p>A connection is read once in an iteration of its event loop, so that servers which send
+ * without end don't keep the loop from the other connections.
  */
 public final class HttpClient {
   private static final int MAX_IDLE_PER_ADDRESS = 64;
-  private static final int MAX_COLLECTED_BODY_BYTES = 16 << 20;
   private static final System.Logger LOG = System.getLogger(HttpClient.class.getName());
 
   private final EventLoopGroup group;
   private final int connectTimeoutMs;
   private final StrayResponse.Listener strayListener;
+  private final MemoryBudget responseMemory;
   private final Map<EventLoop, Map<InetSocketAddress, Deque<ClientConnection>>> idle =
       new ConcurrentHashMap<>();
 
   /**
-   * Creates a client that logs stray responses.
+   * Creates a client that logs stray responses and doesn't limit the memory for all responses.
    *
    * @param group the event loops that handle its connections
    * @param connectTimeoutMs the timeout for opening a connection, in milliseconds
    */
   public HttpClient(EventLoopGroup group, int connectTimeoutMs) {
+    this(group, connectTimeoutMs, new MemoryBudget(Long.MAX_VALUE));
+  }
+
+  /**
+   * Creates a client that logs stray responses.
+   *
+   * @param group the event loops that handle its connections
+   * @param connectTimeoutMs the timeout for opening a connection, in milliseconds
+   * @param responseMemory limits the memory for the responses that are being collected
+   */
+  public HttpClient(EventLoopGroup group, int connectTimeoutMs, MemoryBudget responseMemory) {
     this(
         group,
         connectTimeoutMs,
-        response -> LOG.log(System.Logger.Level.INFO, "stray response: {0}", response));
+        response -> LOG.log(System.Logger.Level.INFO, "stray response: {0}", response),
+        responseMemory);
   }
 
   /**
@@ -65,12 +82,17 @@
    * @param group the event loops that handle its connections
    * @param connectTimeoutMs the timeout for opening a connection, in milliseconds
    * @param strayListener receives the data that isn't the response to a request of this client
+   * @param responseMemory limits the memory for the responses that are being collected
    */
   public HttpClient(
-      EventLoopGroup group, int connectTimeoutMs, StrayResponse.Listener strayListener) {
+      EventLoopGroup group,
+      int connectTimeoutMs,
+      StrayResponse.Listener strayListener,
+      MemoryBudget responseMemory) {
     this.group = group;
     this.connectTimeoutMs = connectTimeoutMs;
     this.strayListener = strayListener;
+    this.responseMemory = responseMemory;
   }
 
   /**
@@ -140,10 +162,8 @@
    */
   public HttpCall sendAndCollect(
       HttpRequest request, BiConsumer<HttpResponse, HttpException> onOutcome) {
-    ResponseCollector collector = new ResponseCollector(onOutcome, MAX_COLLECTED_BODY_BYTES);
-    HttpCall call = send(request, collector);
-    collector.setCall(call);
-    return call;
+    return send(
+        request, new ResponseCollector(onOutcome, request.maxResponseBytes(), responseMemory));
   }
 
   /**
@@ -208,6 +228,9 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1))
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ResponseCollector.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ResponseCollector.java
@@ -1,36 +1,43 @@
 package org.sycamoretrack.transport.connection;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import org.sycamoretrack.transport.request.HttpCall;
+import org.sycamoretrack.core.connection.MemoryBudget;
 import org.sycamoretrack.transport.request.HttpException;
 import org.sycamoretrack.transport.request.HttpResponse;
 import org.sycamoretrack.transport.request.HttpResponseListener;
 
-/** Collects a response in memory, up to a maximum body size. */
+/**
+ * Collects a response in memory, up to the maximum size of its body and to what a {@link
+ * MemoryBudget} allows.
+ *
+ * <p>The buffer of the body doubles, but not beyond a length that the head declares. Its whole
+ * capacity is reserved, that of the old and the new buffer while bytes are copied. Nothing is
+ * reserved after the outcome.
+ */
 final class ResponseCollector implements HttpResponseListener {
+  private static final int MIN_CAPACITY_BYTES = 1 << 10;
+
   private final BiConsumer<HttpResponse, HttpException> onOutcome;
   private final int maxBytes;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final MemoryBudget budget;
   private final Map<String, String> headers = new HashMap<>();
-  private HttpCall call;
+  private byte[] body = {};
+  private int bodyBytes;
+  private int declaredBytes;
   private int status;
-  private boolean finished;
 
-  ResponseCollector(BiConsumer<HttpResponse, HttpException> onOutcome, int maxBytes) {
+  ResponseCollector(
+      BiConsumer<HttpResponse, HttpException> onOutcome, int maxBytes, MemoryBudget budget) {
     this.onOutcome = onOutcome;
     this.maxBytes = maxBytes;
-  }
-
-  void setCall(HttpCall call) {
-    this.call = call;
+    this.budget = budget;
   }
 
   @Override
@@ -38,41 +45,59 @@
     this.status = status;
     headers.forEach(
         header -> this.headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
+    declaredBytes = declaredBytes(headers);
+  }
+
+  /** Returns the length that the head declares, at most one more than the maximum. */
+  private int declaredBytes(HttpHeaders headers) {
+    String value = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+    try {
+      return value == null ? 0 : (int) Math.clamp(Long.parseLong(value.strip()), 0, maxBytes + 1L);
+    } catch (NumberFormatException e) {
+      // The decoder rejects such a response.
+      return 0;
+    }
   }
 
   @Override
   public void onBody(ByteBuf part) {
-    if (body.size() + part.readableBytes() > maxBytes) {
-      finish(
-          null,
-          new HttpException(
-              HttpException.Kind.TOO_LARGE,
-              true,
-              "the response body size in bytes exceeds " + maxBytes));
-      call.cancel();
-      return;
+    int partBytes = part.readableBytes();
+    if (Math.max(declaredBytes, bodyBytes + (long) partBytes) > maxBytes) {
+      throw tooLarge("the response body size in bytes exceeds " + maxBytes);
     }
-    try {
-      part.readBytes(body, part.readableBytes());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    if (bodyBytes + partBytes > body.length) {
+      grow(bodyBytes + partBytes);
     }
+    part.readBytes(body, bodyBytes, partBytes);
+    bodyBytes += partBytes;
+  }
+
+  private void grow(int minCapacity) {
+    int doubled = Math.max(MIN_CAPACITY_BYTES, Math.max(minCapacity, 2 * body.length));
+    int capacity = declaredBytes >= minCapacity ? Math.min(doubled, declaredBytes) : doubled;
+    if (!budget.tryReserve(body.length, capacity)) {
+      throw tooLarge("the responses in progress leave no memory for more than " + bodyBytes);
+    }
+    int releasedBytes = body.length;
+    body = Arrays.copyOf(body, capacity);
+    budget.release(releasedBytes);
+  }
+
+  private static HttpException tooLarge(String message) {
+    return new HttpException(HttpException.Kind.TOO_LARGE, true, message);
   }
 
   @Override
   public void onEnd() {
-    finish(new HttpResponse(status, Map.copyOf(headers), body.toByteArray()), null);
+    byte[] collected = bodyBytes == body.length ? body : Arrays.copyOf(body, bodyBytes);
+    budget.release(body.length);
+    onOutcome.accept(new HttpResponse(status, Map.copyOf(headers), collected), null);
   }
 
   @Override
   public void onFailure(HttpException failure) {
-    finish(null, failure);
-  }
-
-  private void finish(HttpResponse response, HttpException failure) {
-    if (!finished) {
-      finished = true;
-      onOutcome.accept(response, failure);
-    }
+    budget.release(body.length);
+    body = new byte[0];
+    onOutcome.accept(null, failure);
   }
 }
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpException.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpException.java
@@ -16,7 +16,7 @@
     TIMED_OUT,
     /** The response is not valid HTTP, or has neither a content length nor chunked encoding. */
     MALFORMED,
-    /** The response body is larger than the limit. */
+    /** The response is larger than the limit, or all responses in progress together are. */
     TOO_LARGE,
     /** The caller cancelled the request. */
     CANCELLED
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
@@ -10,6 +10,7 @@
 public final class HttpRequest {
   private static final byte[] NO_BODY = {};
   private static final int DEFAULT_TIMEOUT_MS = 10_000;
+  private static final int DEFAULT_MAX_RESPONSE_BYTES = 16 << 20;
 
   private final InetSocketAddress address;
   private final String method;
@@ -18,6 +19,7 @@
   private final byte[] body;
   private final int timeoutMs;
   private final int idleTimeoutMs;
+  private final int maxResponseBytes;
   private final boolean freshConnection;
   private final boolean allowsCloseDelimitedBody;
   private final String echoedHeader;
@@ -31,6 +33,7 @@
     this.body = builder.body;
     this.timeoutMs = builder.timeoutMs;
     this.idleTimeoutMs = builder.idleTimeoutMs;
+    this.maxResponseBytes = builder.maxResponseBytes;
     this.freshConnection = builder.freshConnection;
     this.allowsCloseDelimitedBody = builder.allowCloseDelimitedBody;
     this.echoedHeader = builder.echoedHeader;
@@ -84,6 +87,14 @@
     return idleTimeoutMs;
   }
 
+  /**
+   * Returns the maximum size of a response body that is collected in memory, and of the bodies that
+   * are skipped before it, in bytes.
+   */
+  public int maxResponseBytes() {
+    return maxResponseBytes;
+  }
+
   /**
    * Returns whether the request is sent on a new connection, which avoids reusing an idle
    * connection that the server is just closing.
@@ -133,6 +144,7 @@
     private byte[] body = NO_BODY;
     private int timeoutMs = DEFAULT_TIMEOUT_MS;
     private int idleTimeoutMs;
+    private int maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES;
     private boolean freshConnection;
     private boolean allowCloseDelimitedBody;
     private String echoedHeader;
@@ -201,6 +213,17 @@
       return this;
     }
 
+    /**
+     * Sets the maximum size of a response body that is collected in memory.
+     *
+     * @param maxResponseBytes the limit in bytes
+     * @return this builder
+     */
+    public Builder maxResponseBytes(int maxResponseBytes) {
+      this.maxResponseBytes = maxResponseBytes;
+      return this;
+    }
+
     /**
      * Sends the request on a new connection instead of an idle one.
      *
--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpResponseListener.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpResponseListener.java
@@ -21,6 +21,7 @@
    * Called for each part of the body.
    *
    * @param part the bytes, valid only until this method returns
+   * @throws HttpException to fail the call and close its connection
    */
   void onBody(ByteBuf part);
 
