--- a/core/src/main/java/org/sycamoretrack/core/request/batch/BatchItem.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/BatchItem.java
@@ -7,6 +7,12 @@
 
 /** One request of a batch. Immutable; the body must not be modified. */
 public final class BatchItem {
+  /** The maximum length of a text whose maximum number of tokens is unknown. */
+  public static final int MAX_TEXT_CHARS = 1 << 20;
+
+  private static final int MAX_CHARS_PER_TOKEN = 256;
+  private static final int MIN_TEXT_LIMIT_CHARS = 1 << 14;
+
   private final int index;
   private final String id;
   private final String path;
@@ -15,6 +21,7 @@
   private final String model;
   private final String group;
   private final int lengthHint;
+  private final int maxTokens;
   private final ScoreRequest scoreRequest;
 
   private BatchItem(Builder builder) {
@@ -26,6 +33,7 @@
     this.model = builder.model;
     this.group = builder.group;
     this.lengthHint = builder.lengthHint;
+    this.maxTokens = builder.maxTokens;
     this.scoreRequest = builder.scoreRequest;
   }
 
@@ -80,6 +88,19 @@
     return lengthHint;
   }
 
+  /** Returns the maximum number of tokens of the response, 0 if unknown. */
+  public int maxTokens() {
+    return maxTokens;
+  }
+
+  /** Returns the length that no text of this item can exceed, in characters. */
+  public int maxTextChars() {
+    return maxTokens <= 0
+        ? MAX_TEXT_CHARS
+        : (int)
+            Math.min(MAX_TEXT_CHARS, MIN_TEXT_LIMIT_CHARS + (long) maxTokens * MAX_CHARS_PER_TOKEN);
+  }
+
   /** Returns the request that scores the complete text, empty if the text needs no score. */
   public Optional<ScoreRequest> scoreRequest() {
     return Optional.ofNullable(scoreRequest);
@@ -97,6 +118,7 @@
     private String model = "";
     private String group = "";
     private int lengthHint;
+    private int maxTokens;
     private ScoreRequest scoreRequest;
 
     private Builder(int index, String id, String path) {
@@ -135,6 +157,12 @@
       return this;
     }
 
+    /** Sets the maximum number of tokens of the response, 0 if unknown. */
+    public Builder maxTokens(int value) {
+      this.maxTokens = value;
+      return this;
+    }
+
     /** Sets the request that scores the complete text; null if the text needs no score. */
     public Builder scoreRequest(ScoreRequest value) {
       this.scoreRequest = value;
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
@@ -40,6 +40,20 @@
     return text;
   }
 
+  /**
+   * Removes the text if it is longer than any text of the item can be. A run has then sent
+   * something else, and the next run starts from the beginning.
+   *
+   * @return whether the text was removed
+   */
+  public boolean discardIfTooLong() {
+    if (text.length() <= item.maxTextChars()) {
+      return false;
+    }
+    text.reset();
+    return true;
+  }
+
   /**
    * Continues from a text that an earlier owner saved.
    *
--- a/core/src/main/java/org/sycamoretrack/core/request/batch/ItemText.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/ItemText.java
@@ -79,6 +79,11 @@
     return lastEvent;
   }
 
+  /** Returns the length of the data of all events in characters. */
+  public int length() {
+    return data.length();
+  }
+
   /** Returns the data of all events, separated by line feeds. */
   public String data() {
     return data.toString();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
@@ -126,7 +126,8 @@
               .put("body", item.body())
               .put("model", item.model())
               .put("group", item.group())
-              .put("lengthHint", item.lengthHint());
+              .put("lengthHint", item.lengthHint())
+              .put("maxTokens", item.maxTokens());
       item.scoreRequest()
           .ifPresent(
               request ->
@@ -197,6 +198,7 @@
               .model(node.path("model").asText())
               .group(node.path("group").asText())
               .lengthHint(node.path("lengthHint").asInt())
+              .maxTokens(node.path("maxTokens").asInt())
               .scoreRequest(readScoreRequest(node.path("scorer")))
               .build());
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -51,6 +51,7 @@
   private HttpCall call;
   private String cancelReason;
   private boolean timedOut;
+  private boolean tooLong;
   private boolean ended;
 
   ItemRun(BatchRunner runner, BatchScheduler scheduler, ItemProgress item, Endpoint endpoint) {
@@ -154,6 +155,11 @@
       abandon("event " + number + " received after event " + item.text().lastEvent());
       return;
     }
+    if (item.discardIfTooLong()) {
+      tooLong = true;
+      abandon("the text is longer than " + item.item().maxTextChars() + " characters");
+      return;
+    }
     if (eventReceived) {
       scheduler.tracker().onEvent(endpoint.id(), (double) (nowMs - lastEventMs), nowMs);
     }
@@ -192,7 +198,7 @@
       case INTERRUPTED, COMPLETE -> {
         if (timedOut) {
           tracker.onRefused(endpoint.id(), nowMs + UNREACHABLE_PAUSE_MS);
-        } else if (!eventReceived) {
+        } else if (tooLong || !eventReceived) {
           tracker.onFailed(endpoint.id(), nowMs);
         }
       }
