--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -45,10 +45,14 @@
  *       its body seems to contain a status line and bytes that start no response follow it in the
  *       same read. Therefore a response is complete only at the end of the read.
  * </ul>
+ *
+ * <p>A server may send bytes without end. The codec limits heads, trailers and chunk extensions;
+ * skipped responses are limited in number, and in size like the response itself.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
+  private static final int MAX_SKIPPED_RESPONSES = 64;
 
   /** A status line, which starts a response. */
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
@@ -63,6 +67,9 @@
   private StatusLineScan bodyScan;
   private boolean keepAlive;
   private boolean skippingResponse;
+  private int skippedResponses;
+  private long skippedBytes;
+  private boolean closing;
   private String lastEchoedValue;
 
   ClientConnection(
@@ -98,16 +105,17 @@
   }
 
   void close() {
+    closing = true;
     ctx.close();
   }
 
   /** Closes the connection because data has arrived although no request is in progress. */
   void closeForStrayData() {
-    if (ctx.channel().isActive()) {
+    if (!closing) {
       strayListener.onStrayResponse(
           new StrayResponse(address, StrayResponse.Kind.NO_REQUEST, "", "", 0, ""));
     }
-    ctx.close();
+    close();
   }
 
   /** Returns whether a late copy of the last response could be told from that to a request. */
@@ -124,6 +132,8 @@
   /** Sends the request of a call. The connection must be open and carry no other call. */
   void send(ClientExchange newExchange) {
     exchange = newExchange;
+    skippedResponses = 0;
+    skippedBytes = 0;
     lastEchoedValue = echoedValue(newExchange.request());
     newExchange.attachChannel(ctx.channel());
     ctx.writeAndFlush(encode(newExchange.request()))
@@ -156,6 +166,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (closing) {
+      return;
+    }
     if (ended != null) {
       onDataAfterEnd(message instanceof HttpResponse && message.decoderResult().isSuccess());
       return;
@@ -172,8 +185,19 @@
     if (message instanceof HttpResponse response && !onHead(response)) {
       return;
     }
-    if (message instanceof HttpContent content && !skippingResponse) {
-      onContent(content);
+    if (message instanceof HttpContent content) {
+      if (skippingResponse) {
+        skip(content);
+      } else {
+        onContent(content);
+      }
+    }
+  }
+
+  private void skip(HttpContent content) {
+    skippedBytes += content.content().readableBytes();
+    if (skippedBytes > exchange.request().maxResponseBytes()) {
+      fail(HttpException.Kind.TOO_LARGE, "the responses to other requests are too large");
     }
   }
 
@@ -199,6 +223,10 @@
       return false;
     }
     if (skippingResponse) {
+      skippedResponses++;
+      if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        fail(HttpException.Kind.TOO_LARGE, "too many responses precede the one to the request");
+      }
       return false;
     }
     int status = response.status().code();
@@ -307,7 +335,7 @@
       ctx.channel().config().setAutoRead(true);
       onIdle.accept(this);
     } else {
-      ctx.close();
+      close();
     }
     complete.succeed();
   }
@@ -315,7 +343,7 @@
   private void fail(HttpException.Kind kind, String message) {
     ClientExchange failed = exchange;
     exchange = null;
-    ctx.close();
+    close();
     if (failed != null) {
       failed.fail(new HttpException(kind, true, message));
     }
@@ -330,6 +358,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail(HttpException.Kind.CLOSED_EARLY, "the connection failed: " + cause.getMessage());
+    if (cause instanceof HttpException failure) {
+      fail(failure.kind(), failure.getMessage());
+    } else {
+      fail(HttpException.Kind.CLOSED_EARLY, "the connection failed: " + cause.getMessage());
+    }
   }
 }
