Keep the failed runs of an item when its batch changes its owner

Cause: the number of failed runs lived in the memory of the owner only. The rows that an owner saves for the next one held texts alone.

Change: a row for each item that failed, written at each failure on condition that the owner is unchanged, and on a planned stop if it is still unwritten. The next owner restores it, and gives up an item that may not run again without running it. Malformed rows are logged and skipped, as those of texts are.

It works since the row is in the partition that the next owner reads before it runs anything, and a former owner can't write to it any more.

--- a/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/batch/ItemProgress.java
@@ -22,6 +22,7 @@
   private boolean finished;
   private ScoreProgress scoring;
   private int failures;
+  private boolean impossible;
   private int interruptions;
   private long notBeforeMs;
 
@@ -49,6 +50,17 @@
     text = earlier;
   }
 
+  /**
+   * Continues from the failed runs that an earlier owner saved.
+   *
+   * @param earlierFailures the number of runs that ended with an error response
+   * @param earlierImpossible whether an endpoint responded that the item can never be run
+   */
+  public void restoreFailures(int earlierFailures, boolean earlierImpossible) {
+    failures = earlierFailures;
+    impossible = earlierImpossible;
+  }
+
   /**
    * Returns whether the item is ready to run on an endpoint.
    *
@@ -73,6 +85,20 @@
     return failures;
   }
 
+  /** Returns whether an endpoint responded that the item can never be run. */
+  public boolean isImpossible() {
+    return impossible;
+  }
+
+  /**
+   * Returns whether the item must not run again because its runs failed.
+   *
+   * @param maxFailures the number of failed runs after which an item is given up
+   */
+  public boolean hasFailed(int maxFailures) {
+    return impossible || failures >= maxFailures;
+  }
+
   /** Returns the number of consecutive runs that ended without a new event. */
   public int interruptions() {
     return interruptions;
@@ -99,6 +125,12 @@
     }
   }
 
+  /** Records that an endpoint responded that the item can never be run, which ends its run. */
+  public void onImpossible() {
+    running = false;
+    impossible = true;
+  }
+
   /**
    * Records that the text is complete and is to be scored.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
@@ -15,6 +15,7 @@
 import java.util.UUID;
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
+import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.ItemText;
 import org.sycamoretrack.core.request.scoring.ScoreRequest;
@@ -33,6 +34,7 @@
  * batch   end                 present when the batch was ended by its submitter
  * batch   items.NAME.0000 ..  the items, split into rows
  * batch   text.00012.0000 ..  the partial text of the item with index 12
+ * batch   failures.00012      the failed runs of the item with index 12
  * result  00000042.0000 ..    the result at position 42, split into rows
  * </pre>
  *
@@ -62,6 +64,7 @@
 
   private static final String ITEMS_PREFIX = "items.";
   private static final String TEXT_PREFIX = "text.";
+  private static final String FAILURES_PREFIX = "failures.";
 
   private static final System.Logger LOG = System.getLogger(BatchRowCodec.class.getName());
 
@@ -337,6 +340,42 @@
     return text;
   }
 
+  /** Returns the row that stores the failed runs of an item. */
+  static Slice failureRow(ItemProgress item) {
+    ObjectNode json =
+        Json.object().put("failures", item.failures()).put("impossible", item.isImpossible());
+    String key = String.format(Locale.ROOT, "%s%05d", FAILURES_PREFIX, item.item().index());
+    return new Slice(key, Json.toBytes(json));
+  }
+
+  /**
+   * Gives items the failed runs that an earlier owner saved. Malformed rows are skipped; the runs
+   * of their items count from zero.
+   *
+   * @param rows all rows of the batch in the table {@link #BATCH_TABLE}
+   * @param items the items by their index
+   */
+  static void restoreFailures(List<Row> rows, List<ItemProgress> items) {
+    for (Row row : rows) {
+      if (!row.key().startsWith(FAILURES_PREFIX)) {
+        continue;
+      }
+      try {
+        int index = Integer.parseInt(row.key().substring(FAILURES_PREFIX.length()));
+        JsonNode json = Json.parse(row.value());
+        items
+            .get(index)
+            .restoreFailures(json.path("failures").asInt(), json.path("impossible").asBoolean());
+      } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+        LOG.log(
+            System.Logger.Level.WARNING,
+            LogEvent.of("item-failures-unreadable")
+                .with("row", row.key())
+                .with("reason", e.getMessage()));
+      }
+    }
+  }
+
   private static List<Integer> versions(JsonNode json) {
     List<Integer> versions = new ArrayList<>();
     json.path("versions").forEach(version -> versions.add(version.asInt()));
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -73,6 +73,7 @@
   private final Map<ItemProgress, ItemRun> runs = new HashMap<>();
   private final Map<String, Set<String>> groupEndpoints = new HashMap<>();
   private final Map<ItemProgress, Integer> savedEvents = new HashMap<>();
+  private final FailureSaver failureSaver;
   private long nextSaveMs;
   private boolean saving;
   private boolean mayDispatch = true;
@@ -105,6 +106,7 @@
     this.scores = scores;
     this.loop = loop;
     this.listener = listener;
+    this.failureSaver = new FailureSaver(this::saveRows);
   }
 
   OpenBatch batch() {
@@ -160,11 +162,33 @@
     scheduler.requestDispatch();
   }
 
-  /** Continues with the texts that an earlier owner completed but didn't list. */
-  void resumeCompleteTexts() {
+  /** Called when a run ended with an error response. Gives the item up if that was the last run. */
+  void onRunFailed(ItemProgress item, String reason) {
+    if (closed) {
+      return;
+    }
+    failureSaver.add(item);
+    if (hasFailed(item)) {
+      giveUp(item, reason);
+    } else {
+      onRunEnded(item);
+    }
+  }
+
+  private boolean hasFailed(ItemProgress item) {
+    return item.hasFailed(batch.submission().routeSettings().attempts());
+  }
+
+  /** Lists or scores the items that an earlier owner completed or saw fail but didn't list. */
+  void resumeEndedItems() {
     for (ItemProgress item : batch.items()) {
-      if (!item.isFinished() && item.text().isComplete()) {
+      if (item.isFinished()) {
+        continue;
+      }
+      if (item.text().isComplete()) {
         onTextComplete(item);
+      } else if (hasFailed(item)) {
+        giveUp(item, "the runs at earlier owners failed");
       }
     }
   }
@@ -221,6 +245,9 @@
   void onTick(long nowMs) {
     List.copyOf(runs.values()).forEach(run -> run.onTick(nowMs));
     savePartialTexts(nowMs);
+    if (!closed) {
+      failureSaver.write();
+    }
     BatchSubmission submission = batch.submission();
     long maxQueueMs = submission.routeSettings().maxQueueMs();
     if (maxQueueMs > 0 && System.currentTimeMillis() - submission.acceptedAtMs() > maxQueueMs) {
@@ -371,12 +398,13 @@
   }
 
   /**
-   * Stops running the batch and saves the partial texts, so that another node can continue them.
+   * Stops running the batch and saves the partial texts and the failures that are not saved yet, so
+   * that another node can continue them.
    *
-   * @return completes when the texts are saved or saving them has failed
+   * @return completes when they are saved or saving them has failed
    */
   CompletionStage<Void> handOver() {
-    List<BatchRowCodec.Slice> slices = new ArrayList<>();
+    List<BatchRowCodec.Slice> slices = new ArrayList<>(failureSaver.unsavedRows());
     for (ItemProgress item : batch.items()) {
       if (!item.isFinished() && item.text().lastEvent() > 0) {
         slices.addAll(BatchRowCodec.textRows(item.item().index(), item.text()));
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -225,7 +225,7 @@
     String batchId = owner.batchId();
     BatchRunner runner = new BatchRunner(openBatch, owner, store, scheduler, scores, loop, this);
     runners.put(batchId, runner);
-    runner.resumeCompleteTexts();
+    runner.resumeEndedItems();
     scheduler.add(runner);
     metrics.onOwnerChange(change);
   }
@@ -290,6 +290,7 @@
               OpenBatch openBatch = new OpenBatch(submission, listed);
               BatchRowCodec.readTexts(rows)
                   .forEach((index, text) -> openBatch.items().get(index).restore(text));
+              BatchRowCodec.restoreFailures(rows, openBatch.items());
               LOG.log(
                   System.Logger.Level.INFO,
                   LogEvent.of("batch-taken-over")
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -205,14 +205,17 @@
 
   private void updateItem(EndpointClient.RunEnd end, String reason, long nowMs) {
     boolean failed = end == EndpointClient.RunEnd.FAILED;
-    boolean progressed = item.text().lastEvent() > resumedAfterEvent;
-    int factor = Math.min(MAX_RETRY_FACTOR, item.interruptions());
-    boolean refused =
-        end == EndpointClient.RunEnd.NOT_RUN || end == EndpointClient.RunEnd.UNREACHABLE;
-    item.onEnded(failed, progressed, nowMs + (refused ? 0 : RETRY_DELAY_MS * factor));
-    if (end == EndpointClient.RunEnd.IMPOSSIBLE
-        || item.failures() >= runner.batch().submission().routeSettings().attempts()) {
-      runner.giveUp(item, reason);
+    if (end == EndpointClient.RunEnd.IMPOSSIBLE) {
+      item.onImpossible();
+    } else {
+      boolean progressed = item.text().lastEvent() > resumedAfterEvent;
+      int factor = Math.min(MAX_RETRY_FACTOR, item.interruptions());
+      boolean refused =
+          end == EndpointClient.RunEnd.NOT_RUN || end == EndpointClient.RunEnd.UNREACHABLE;
+      item.onEnded(failed, progressed, nowMs + (refused ? 0 : RETRY_DELAY_MS * factor));
+    }
+    if (failed || item.isImpossible()) {
+      runner.onRunFailed(item, reason);
     } else {
       runner.onRunEnded(item);
     }
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/batch/BatchRowCodecTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/batch/BatchRowCodecTest.java
@@ -2,16 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sycamoretrack.core.request.batch.BatchItem;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
+import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.ItemText;
+import org.sycamoretrack.core.request.batch.OpenBatch;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 
 /**
- * Tests of reading partial texts: rows that an earlier owner left behind must neither stop a
- * takeover nor end up in the text of an item.
+ * Tests of reading partial texts and failures: rows that an earlier owner left behind must neither
+ * stop a takeover nor end up in the text of an item.
  */
 class BatchRowCodecTest {
   private static final int LONG_TEXT = 200_000;
@@ -50,4 +57,54 @@
 
     assertThat(BatchRowCodec.readTexts(rows)).containsOnlyKeys(1);
   }
+
+  private static List<ItemProgress> items(int count) {
+    List<BatchItem> items = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      items.add(BatchItem.builder(i, "item-" + i, "/x").model("m").group("g").build());
+    }
+    BatchSubmission submission =
+        new BatchSubmission(
+            "b", "h", "s", 1, 0, new BatchSubmission.RouteSettings(3, false, 0, 0), 0, items);
+    return new OpenBatch(submission, List.of()).items();
+  }
+
+  private static Row failureRow(ItemProgress item) {
+    BatchRowCodec.Slice slice = BatchRowCodec.failureRow(item);
+    return new Row(BatchRowCodec.BATCH_TABLE, "b", slice.key(), slice.bytes(), 1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, false, false", "1, false, false", "3, false, true", "0, true, true"})
+  void restoresFailures(int failures, boolean impossible, boolean failed) {
+    ItemProgress saved = items(2).get(1);
+    for (int i = 0; i < failures; i++) {
+      saved.onEnded(true, false, 0);
+    }
+    if (impossible) {
+      saved.onImpossible();
+    }
+    List<ItemProgress> restored = items(2);
+
+    BatchRowCodec.restoreFailures(List.of(failureRow(saved)), restored);
+
+    assertThat(restored.get(1).failures()).isEqualTo(failures);
+    assertThat(restored.get(1).isImpossible()).isEqualTo(impossible);
+    assertThat(restored.get(1).hasFailed(3)).isEqualTo(failed);
+    assertThat(restored.get(0).failures()).isZero();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"failures.00000, no json", "failures.00009, {}", "failures.x, {}", "failures., {}"})
+  void skipsMalformedFailures(String key, String value) {
+    List<ItemProgress> restored = items(2);
+    ItemProgress saved = items(2).get(1);
+    saved.onEnded(true, false, 0);
+    Row malformed =
+        new Row(BatchRowCodec.BATCH_TABLE, "b", key, value.getBytes(StandardCharsets.UTF_8), 1);
+
+    BatchRowCodec.restoreFailures(List.of(malformed, failureRow(saved)), restored);
+
+    assertThat(restored).extracting(ItemProgress::failures).containsExactly(0, 1);
+  }
 }
