Find crashes of endpoints that come back at once or fall silent

What callers saw: a request that crashes endpoints could be sent again without end (BUDGET) where the check 50 ms after a closed connection found no refused connection: the endpoint was back at once as another instance, fell silent instead of closing, or ended later. The other way, an endpoint that refused the check with 503 counted as crashed, so two cut responses quarantined a sound request.

Cause: the check read any response as life, any refusal as death, could use a connection from before the crash, and was made once, after a close only.

Change: EndpointClient.liveness asks on a new connection and tells an instance by its id and start time. An instance that is listed and silent, or unlisted and responding, isn't a crashed one. A crash of an instance has one id on all nodes.

It works since a crash always ends an instance, which shows by its absence or by its successor.

--- a/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
+++ b/core/src/main/java/org/sycamoretrack/core/request/PoisonRequestDetector.java
@@ -178,11 +178,26 @@
    * @return the records to send to the other nodes
    */
   public List<CrashRecord> onEndpointCrash(String endpoint, String deathId, long nowMs) {
+    return onEndpointCrash(endpoint, Set.of(), deathId, nowMs);
+  }
+
+  /**
+   * Records the crash of an endpoint, which ends all requests running on it.
+   *
+   * @param endpoint the name of the endpoint
+   * @param ended the fingerprints of requests that ended on it without a response before the crash
+   *     was known
+   * @param deathId the id of the crash, unique among all nodes
+   * @param nowMs the current time in milliseconds
+   * @return the records to send to the other nodes
+   */
+  public List<CrashRecord> onEndpointCrash(
+      String endpoint, Set<String> ended, String deathId, long nowMs) {
+    Set<String> fingerprints = new HashSet<>(ended);
     Map<String, Integer> running = runningByEndpoint.remove(endpoint);
-    if (running == null) {
-      return List.of();
+    if (running != null) {
+      fingerprints.addAll(running.keySet());
     }
-    Set<String> fingerprints = new HashSet<>(running.keySet());
     List<CrashRecord> crashRecords = new ArrayList<>();
     for (String fingerprint : fingerprints) {
       CrashRecord crashRecord = new CrashRecord(fingerprint, endpoint, nodeId, deathId, nowMs);
--- a/core/src/test/java/org/sycamoretrack/core/request/PoisonRequestDetectorTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/request/PoisonRequestDetectorTest.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -53,6 +54,14 @@
     assertThat(detector.verdict("p", "y", 0)).isEqualTo(RUN);
   }
 
+  @Test
+  void crashIsAttributedToRequestsThatEndedBefore() {
+    assertThat(detector.onEndpointCrash("x", Set.of("p"), "x@1", 0)).hasSize(1);
+    detector.onStart("p", "y");
+    assertThat(detector.onEndpointCrash("y", Set.of("p"), "y@1", 1)).hasSize(1);
+    assertThat(detector.isQuarantined("p", 1)).isTrue();
+  }
+
   /**
    * Guards against quarantining a sound request: the report of a crash that a success had cleared
    * arrived again, and counted beside a later crash.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
@@ -200,6 +200,16 @@
     }
   }
 
+  /** Whether an instance of an endpoint still runs. */
+  enum Liveness {
+    /** The instance responded. */
+    ALIVE,
+    /** Nothing can be connected to at its address, or another instance responded. */
+    GONE,
+    /** The address accepts connections, but no response arrived. */
+    UNKNOWN
+  }
+
   /**
    * Sends a plain request.
    *
@@ -251,4 +261,12 @@
    * @param endpoint the endpoint
    */
   CompletionStage<WeightReport> weightReport(Endpoint endpoint);
+
+  /**
+   * Checks whether an instance of an endpoint still runs, on a new connection.
+   *
+   * @param endpoint the endpoint, with the start time of the instance
+   * @return completes with the finding; fails if the response is malformed
+   */
+  CompletionStage<Liveness> liveness(Endpoint endpoint);
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
@@ -114,4 +114,9 @@
   public CompletionStage<WeightReport> weightReport(Endpoint endpoint) {
     return endpoints.weightReport(endpoint);
   }
+
+  @Override
+  public CompletionStage<Liveness> liveness(Endpoint endpoint) {
+    return endpoints.liveness(endpoint);
+  }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/PoisonGuard.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.request;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.sycamoretrack.core.process.MonotonicClock;
@@ -88,9 +89,25 @@
   /** Called when an endpoint crashed. Records the crash for its requests and tells other nodes. */
   public void onEndpointCrash(String endpoint) {
     String deathId = nodeId + '/' + endpoint + '/' + crashCount.incrementAndGet();
+    record(endpoint, deathId, Set.of());
+  }
+
+  /**
+   * Called when an instance of an endpoint crashed, whose name no other one has. All nodes give
+   * that crash the same id, so it counts once, whoever reports it and whenever.
+   *
+   * @param instance the name of the instance
+   * @param ended the requests that had ended before without a response, to which the crash is
+   *     attributed as well
+   */
+  public void onInstanceCrash(String instance, Set<String> ended) {
+    record(instance, instance, ended);
+  }
+
+  private void record(String endpoint, String deathId, Set<String> ended) {
     List<PoisonRequestDetector.CrashRecord> crashRecords;
     synchronized (this) {
-      crashRecords = detector.onEndpointCrash(endpoint, deathId, MonotonicClock.nowMs());
+      crashRecords = detector.onEndpointCrash(endpoint, ended, deathId, MonotonicClock.nowMs());
     }
     LOG.log(
         System.Logger.Level.WARNING,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -87,17 +87,21 @@
   /** Cancels the attempts on all endpoints. The outcome listener is not called afterwards. */
   public void cancel() {
     ended = true;
-    cancelRunning();
+    cancelRunning(false);
   }
 
-  private void cancelRunning() {
+  private void cancelRunning(boolean answered) {
     List<HttpCall> calls = List.copyOf(running.values());
     inFlight
         .values()
         .forEach(
             endpoint -> {
               forwarder.tracker().onEnded(endpoint.id());
-              forwarder.crashes().onEnded(fingerprint, endpoint);
+              if (answered) {
+                forwarder.crashes().onEnded(fingerprint, endpoint);
+              } else {
+                forwarder.crashes().onSilent(fingerprint, endpoint);
+              }
             });
     inFlight.clear();
     running.clear();
@@ -182,7 +186,7 @@
         if (lost.connectionClosed()) {
           forwarder.crashes().onConnectionClosed(fingerprint, endpoint);
         } else {
-          forwarder.crashes().onEnded(fingerprint, endpoint);
+          forwarder.crashes().onSilent(fingerprint, endpoint);
         }
         forwarder.tracker().onFailed(endpoint.id(), nowMs);
         maybeRan = true;
@@ -242,7 +246,7 @@
       return;
     }
     ended = true;
-    cancelRunning();
+    cancelRunning(outcome instanceof ForwardOutcome.Answered);
     if (!(outcome instanceof ForwardOutcome.Answered)) {
       LOG.log(
           System.Logger.Level.INFO,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -57,7 +57,7 @@
     this.placement = placement;
     this.loop = loop;
     this.metrics = metrics;
-    this.crashes = new EndpointCrashes(endpoints, poison, loop);
+    this.crashes = new EndpointCrashes(endpoints, poison, loop, () -> views.get().fleet());
   }
 
   /**
