Answer each request that a stopping node has read

What callers saw: in a planned stop of one node, in calm, requests that came late in the grace period were passed on, and at its end their connections closed without a response, among them requests that may run only once (LOST).

Cause: the stop ended idle connections only and closed the others at the end, whatever ran on them. Nobody asked whether a request could end by then. With the store away the stop waited for the hand-over of batches until the end and looked for idle connections not once. Responses that wait for the store were cut off in the same way.

Change: StopAdmission decides for each attempt during a stop whether it can be expected to end in time, by its time limit or by the latest durations of its service; the rest is refused as not run. The end of the grace period is a deadline of plain requests, answered 504. OpenRequests answers what waits for the store. After that all requests are refused, also those that have arrived in part. The hand-over goes on beside it.

It works since each path of a request now ends by the end of the grace period, either by its own response or by the one that the stop gives.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/ServerDrain.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/ServerDrain.java
@@ -42,6 +42,21 @@
    */
   public boolean closeIdle() {
     servers.forEach(HttpServer::closeIdleConnections);
+    return isClosed();
+  }
+
+  /**
+   * Closes the connections without a complete request, after refusing what has arrived in part. To
+   * be called repeatedly once all requests are answered.
+   *
+   * @return whether no connection is open any more
+   */
+  public boolean closeAll() {
+    servers.forEach(HttpServer::refuseIncompleteRequests);
+    return closeIdle();
+  }
+
+  private boolean isClosed() {
     return servers.stream().allMatch(server -> server.connectionCount() == 0);
   }
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeServices.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeServices.java
@@ -53,4 +53,10 @@
 
   /** Returns whether the node is stopping and accepts no new batches. */
   boolean isStopping();
+
+  /** Returns whether the node has stopped so far that it refuses all requests. */
+  boolean isStopped();
+
+  /** Returns the requests that have to be answered at the end of a planned stop. */
+  OpenRequests openRequests();
 }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.RelayPeers;
@@ -82,6 +83,9 @@
   /** Part of the grace period reserved for the work after the last response. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Part of {@link #STOP_MARGIN_MS} in which the last responses reach their callers. */
+  private static final long LAST_RESPONSES_MS = 300;
+
   /** Safety margin within the time after which a cancelled batch must start no more items. */
   private static final long CANCEL_MARGIN_MS = 600;
 
@@ -122,7 +126,9 @@
   private final StartupQueue registrationQueue =
       new StartupQueue(trafficLoop, this::isRegistered, MAX_START_WAIT_MS, MAX_START_REQUESTS);
   private volatile boolean isolated;
+  private final OpenRequests openRequests = new OpenRequests();
   private volatile boolean stopping;
+  private volatile boolean stopped;
 
   private StoreBackedNode(StoreBackedNodeSettings settings, PlatformAdapter adapter) {
     this.settings = settings;
@@ -422,7 +428,7 @@
   }
 
   private boolean isDeploymentRead() {
-    return watch.isComplete();
+    return stopping || watch.isComplete();
   }
 
   @Override
@@ -440,15 +446,29 @@
     return stopping;
   }
 
+  @Override
+  public boolean isStopped() {
+    return stopped;
+  }
+
+  @Override
+  public OpenRequests openRequests() {
+    return openRequests;
+  }
+
   /**
    * Stops gracefully: hands over batches and the order lease to other nodes, closes connections as
-   * {@link ServerDrain} does, and lets requests in flight complete within the grace period.
+   * {@link ServerDrain} does, and lets requests in flight complete within the grace period. New
+   * requests are served as long as they can be expected to end within it. At its end, each request
+   * without a response gets one that says whether it may have run.
    */
   public void stop() {
     long startedMs = MonotonicClock.nowMs();
+    long endMs = startedMs + settings.graceMs() - STOP_MARGIN_MS;
     stopping = true;
     ServerDrain drain = new ServerDrain(callerServer);
     drain.begin();
+    trafficLoop.execute(() -> components.forwarder().stopBy(endMs));
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopping"));
     CompletableFuture<Void> handedOver = new CompletableFuture<>();
     trafficLoop.execute(
@@ -460,16 +480,8 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
-    long endMs = startedMs + settings.graceMs() - STOP_MARGIN_MS;
+    endConnections(drain, this::endRequests, startedMs, endMs);
     await(handedOver, endMs - MonotonicClock.nowMs());
-    long acceptUntilMs = Math.min(endMs, startedMs + MIN_STOP_MS);
-    while (MonotonicClock.nowMs() < acceptUntilMs) {
-      await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
-    }
-    drain.stopAccepting();
-    while (MonotonicClock.nowMs() < endMs && !drain.closeIdle()) {
-      await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
-    }
     registry.stop();
     watch.stop();
     callerServer.close();
@@ -479,6 +491,33 @@
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopped"));
   }
 
+  private static void endConnections(
+      ServerDrain drain, Runnable endRequests, long startedMs, long endMs) {
+    pauseUntil(Math.min(endMs, startedMs + MIN_STOP_MS), () -> false);
+    drain.stopAccepting();
+    if (!pauseUntil(endMs, drain::closeIdle)) {
+      endRequests.run();
+      pauseUntil(endMs + LAST_RESPONSES_MS, drain::closeAll);
+    }
+  }
+
+  /** Answers the requests that are still open, and lets those that arrive later be refused. */
+  private void endRequests() {
+    stopped = true;
+    trafficLoop.execute(openRequests::endAll);
+  }
+
+  /** Waits until a condition holds, but not beyond a time; returns whether it holds. */
+  private static boolean pauseUntil(long endMs, BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      if (MonotonicClock.nowMs() >= endMs) {
+        return false;
+      }
+      await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
+    }
+    return true;
+  }
+
   private CompletableFuture<Void> announceLeaving() {
     CompletableFuture<Void> announced = new CompletableFuture<>();
     controlLoop.execute(
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -25,7 +25,8 @@
  * other run is cancelled. A request that may run only once is sent to another endpoint only after
  * the previous one has confirmed that it didn't and won't run it. Such a refusal doesn't count as
  * an attempt. Each endpoint is tried at most once. A request that is quarantined for the crashes of
- * {@link EndpointCrashes} is not sent at all.
+ * {@link EndpointCrashes} is not sent at all. During a planned stop, no attempt begins that can't
+ * be expected to end in time.
  *
  * <p>Confined to the traffic loop.
  */
@@ -45,7 +46,8 @@
   private final PlainRequest request;
   private final Consumer<ForwardOutcome> onOutcome;
   private final long startedMs = MonotonicClock.nowMs();
-  private final long deadlineMs;
+  private final long limitMs;
+  private long deadlineMs;
   private final String service;
   private final String fingerprint;
   private final Set<String> tried = new HashSet<>();
@@ -67,7 +69,8 @@
     this.route = route;
     this.request = request;
     this.onOutcome = onOutcome;
-    this.deadlineMs = startedMs + Math.min(timeoutMs, route.timeoutMs());
+    this.limitMs = startedMs + Math.min(timeoutMs, route.timeoutMs());
+    this.deadlineMs = Math.min(limitMs, forwarder.stopEndMs());
     this.service = route.selectService(ThreadLocalRandom.current().nextInt());
     this.fingerprint = EndpointCrashes.fingerprint(request);
   }
@@ -78,15 +81,29 @@
       end(new ForwardOutcome.Quarantined(quarantineMs));
       return;
     }
-    forwarder.schedule(this::onTimeout, Math.max(0, deadlineMs - startedMs));
+    forwarder.onStarted(this);
+    scheduleTimeout();
     if (!sendNext()) {
       end(new ForwardOutcome.NotRun(lastReason, RETRY_AFTER_MS));
     }
   }
 
+  /** Brings the deadline forward. */
+  void limitTo(long endMs) {
+    if (endMs < deadlineMs) {
+      deadlineMs = endMs;
+      scheduleTimeout();
+    }
+  }
+
+  private void scheduleTimeout() {
+    forwarder.schedule(this::onTimeout, Math.max(0, deadlineMs - MonotonicClock.nowMs()));
+  }
+
   /** Cancels the attempts on all endpoints. The outcome listener is not called afterwards. */
   public void cancel() {
     ended = true;
+    forwarder.onEnded(this);
     cancelRunning();
   }
 
@@ -114,6 +131,10 @@
     if (ended || attempts >= route.attempts() || nowMs >= deadlineMs || service == null) {
       return false;
     }
+    if (!forwarder.maySend(route, service, limitMs - nowMs, nowMs)) {
+      lastReason = "the node is stopping";
+      return false;
+    }
     Endpoint endpoint = forwarder.choose(service, fingerprint, tried);
     if (endpoint == null) {
       return false;
@@ -242,7 +263,9 @@
       return;
     }
     ended = true;
+    forwarder.onEnded(this);
     cancelRunning();
+    recordDuration(outcome);
     if (!(outcome instanceof ForwardOutcome.Answered)) {
       LOG.log(
           System.Logger.Level.INFO,
@@ -257,6 +280,12 @@
     onOutcome.accept(outcome);
   }
 
+  private void recordDuration(ForwardOutcome outcome) {
+    if (outcome instanceof ForwardOutcome.Answered || outcome instanceof ForwardOutcome.TimedOut) {
+      forwarder.onDuration(service, MonotonicClock.nowMs() - startedMs);
+    }
+  }
+
   private static String label(ForwardOutcome outcome) {
     return switch (outcome) {
       case ForwardOutcome.Answered answered ->
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -1,7 +1,10 @@
 package org.sycamoretrack.daemon.request.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -9,6 +12,8 @@
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
 import org.sycamoretrack.core.process.MonotonicClock;
+import org.sycamoretrack.core.request.ServiceTimes;
+import org.sycamoretrack.core.request.StopAdmission;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.daemon.client.EndpointClient;
@@ -31,6 +36,9 @@
   private final EventLoop loop;
   private final StoreBackedNodeMetrics metrics;
   private final EndpointCrashes crashes;
+  private final Map<String, ServiceTimes> times = new HashMap<>();
+  private final Set<ForwardedCall> running = new HashSet<>();
+  private long stopEndMs = Long.MAX_VALUE;
 
   /**
    * Creates a forwarder.
@@ -76,6 +84,45 @@
     return call;
   }
 
+  /**
+   * Begins a planned stop. From now on, a request is sent only if {@link StopAdmission} expects its
+   * response in time, and what is still running at the end times out.
+   *
+   * @param endMs the end of the grace period, by {@link MonotonicClock}
+   */
+  public void stopBy(long endMs) {
+    stopEndMs = endMs;
+    running.forEach(call -> call.limitTo(endMs));
+  }
+
+  /** Returns the time at which all calls have to end, {@link Long#MAX_VALUE} if there is none. */
+  long stopEndMs() {
+    return stopEndMs;
+  }
+
+  /** Returns whether a request that may take so long may still be sent to a service. */
+  boolean maySend(Route route, String service, long limitMs, long nowMs) {
+    return stopEndMs == Long.MAX_VALUE
+        || StopAdmission.admits(
+            route.kind(),
+            limitMs,
+            times.getOrDefault(service, new ServiceTimes()),
+            stopEndMs - nowMs);
+  }
+
+  void onStarted(ForwardedCall call) {
+    running.add(call);
+  }
+
+  void onEnded(ForwardedCall call) {
+    running.remove(call);
+  }
+
+  /** Called when a request has been answered, or has timed out, after so long. */
+  void onDuration(String service, long durationMs) {
+    times.computeIfAbsent(service, name -> new ServiceTimes()).add(durationMs);
+  }
+
   StoreBackedNodeMetrics metrics() {
     return metrics;
   }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/HttpServer.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.function.BiConsumer;
 import org.sycamoretrack.transport.request.HttpHandler;
 
 /**
@@ -73,10 +74,19 @@
 
   /** Closes the connections on which no request is in progress or being received. */
   public void closeIdleConnections() {
+    onEachConnection(ServerConnection::closeIfIdle);
+  }
+
+  /** Refuses the requests that have arrived in part as not run, and closes their connections. */
+  public void refuseIncompleteRequests() {
+    onEachConnection(ServerConnection::refuseIfIncomplete);
+  }
+
+  private void onEachConnection(BiConsumer<ServerConnection, Channel> action) {
     for (Channel connection : connections) {
       ServerConnection handler = connection.pipeline().get(ServerConnection.class);
       if (handler != null) {
-        connection.eventLoop().execute(() -> handler.closeIfIdle(connection));
+        connection.eventLoop().execute(() -> action.accept(handler, connection));
       }
     }
   }
--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
@@ -151,6 +151,13 @@
     }
   }
 
+  /** Refuses a request that has arrived in part, unless another one is in progress. */
+  void refuseIfIncomplete(Channel channel) {
+    if (current == null && head != null) {
+      reject(channel.pipeline().context(this), 503, "stopping", "the node is stopping");
+    }
+  }
+
   /** Returns whether the connection is to be closed after the current response. */
   boolean closesAfterResponse() {
     return server.isDraining() && pipelined.isEmpty();
