Answer the requests before an invalid one on the same connection

What callers saw: on a connection with a request in progress, a further request that was malformed, too large or not complete in time closed the connection. The request in progress, which had been passed on, got no response (LOST).

Cause: ServerConnection rejected a request behind another one by closing the connection, since an error response would have come out of order.

Change: the error response is kept until the requests before it have been answered, and ends the connection then. What arrives after it is ignored.

Responses keep the order of their requests, and only the last one says that the connection closes.

--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ServerConnection.java
@@ -25,8 +25,8 @@
 
 /**
  * Channel handler for the server side of one connection. Assembles requests, passes them to the
- * {@link HttpHandler} one at a time, and rejects requests that exceed a limit. While another
- * exchange is in progress, rejecting a request closes the connection without an error response.
+ * {@link HttpHandler} one at a time, and rejects requests that exceed a limit. The error response
+ * to a rejected request follows those to the requests before it and ends the connection.
  *
  * <p>Invariant: at most one exchange is in progress. Requests that arrive meanwhile are queued in
  * {@link #pipelined}, which holds at most {@link #MAX_PIPELINED}.
@@ -41,6 +41,7 @@
   private CompositeByteBuf body;
   private ScheduledFuture<?> requestTimer;
   private ServerExchange current;
+  private HttpResponse rejection;
   private boolean closing;
 
   ServerConnection(ServerState server) {
@@ -133,6 +134,8 @@
     ServerExchange next = pipelined.poll();
     if (next != null) {
       dispatch(next);
+    } else if (rejection != null) {
+      sendRejection(ctx);
     }
   }
 
@@ -160,7 +163,7 @@
 
   /** Returns whether the connection is to be closed after the current response. */
   boolean closesAfterResponse() {
-    return server.isDraining() && pipelined.isEmpty();
+    return server.isDraining() && pipelined.isEmpty() && rejection == null;
   }
 
   private void onRequestTimeout(ChannelHandlerContext ctx) {
@@ -172,12 +175,14 @@
   private void reject(ChannelHandlerContext ctx, int status, String code, String message) {
     closing = true;
     releaseRequest();
-    if (current != null) {
-      ctx.channel().close();
-      return;
+    rejection = errorResponse(status, code, "not-run", message);
+    if (current == null) {
+      sendRejection(ctx);
     }
-    HttpResponse response = errorResponse(status, code, "not-run", message);
-    ctx.writeAndFlush(ServerExchange.fullResponse(response, false))
+  }
+
+  private void sendRejection(ChannelHandlerContext ctx) {
+    ctx.writeAndFlush(ServerExchange.fullResponse(rejection, false))
         .addListener(ChannelFutureListener.CLOSE);
   }
 
--- a/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
+++ b/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
@@ -1,20 +1,25 @@
 package org.sycamoretrack.transport.connection;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +38,9 @@
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
   private EventLoopGroup group;
+  private static final int SLOW_MS = 600;
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 (\\d+)");
+
   private HttpServer server;
   private HttpClient client;
   private final CountDownLatch abandoned = new CountDownLatch(1);
@@ -71,6 +79,13 @@
         stream.write("one ".getBytes(StandardCharsets.UTF_8));
         stream.abort();
       }
+      case "/slow" ->
+          exchange
+              .eventLoop()
+              .schedule(
+                  () -> exchange.respond(new HttpResponse(200, Map.of(), exchange.body())),
+                  SLOW_MS,
+                  TimeUnit.MILLISECONDS);
       case "/never" -> exchange.onClientDisconnect(abandoned::countDown);
       case "/throw-error" -> throw new StackOverflowError("expected by the test");
       case "/throw" -> throw new IllegalStateException("expected by the test");
@@ -143,6 +158,53 @@
     assertThat(server.inFlightCount()).isZero();
   }
 
+  @Test
+  void drainingServerRefusesARequestThatHasArrivedInPart() throws Exception {
+    try (Socket socket = new Socket(server.address().getAddress(), server.address().getPort())) {
+      OutputStream out = socket.getOutputStream();
+      out.write("POST /echo HTTP/1.1\r\ncontent-length: 2\r\n\r\n1".getBytes(UTF_8));
+      while (server.connectionCount() == 0) {
+        Thread.onSpinWait();
+      }
+      server.drain();
+      CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> readAll(socket));
+      while (!response.isDone()) {
+        server.refuseIncompleteRequests();
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertThat(response.join()).startsWith("HTTP/1.1 503").contains("not-run");
+    }
+  }
+
+  /** Guards against an error in one request that takes the response of the one before. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /echo HTTP/1.1\r\ncontent-length: 50\r\n\r\nslow| 408",
+        "GARBAGE\r\n\r\n| 400",
+        "POST /echo HTTP/1.1\r\ncontent-length: 1001\r\n\r\nLONG| 413"
+      })
+  void invalidPipelinedRequestLeavesTheOneBeforeItsResponse(String textAndStatus) throws Exception {
+    String[] parts = textAndStatus.split("\\| ", -1);
+    String next = parts[0].replace("LONG", "x".repeat(1_001));
+    try (Socket socket = new Socket(server.address().getAddress(), server.address().getPort())) {
+      OutputStream out = socket.getOutputStream();
+      out.write(("GET /slow HTTP/1.1\r\n\r\nGET /echo HTTP/1.1\r\n\r\n" + next).getBytes(UTF_8));
+      String responses = readAll(socket);
+
+      assertThat(STATUS_LINE.matcher(responses).results().map(line -> line.group(1)))
+          .containsExactly("200", "200", parts[1]);
+    }
+  }
+
+  private static String readAll(Socket socket) {
+    try {
+      return new String(socket.getInputStream().readAllBytes(), UTF_8);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Test
   void refusedConnectionIsReportedAsNotSent() {
     InetSocketAddress address = server.address();
