Keep a node's reports of endpoints when the node restarts

Cause: a node read its own row at the start, but the first report of the new process wrote the row without the reports of the earlier one. Nodes that started after that knew nothing of them.

Change: the new process takes over the reports that its row holds. They leave it, as before, when they no longer matter.

StoreBackedNodeTest#reportsOfANodeOutliveItsRestart failed before and passes, with ten more cases of that class on crashes and leaving endpoints. It works since the row now only loses reports that are outdated.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/SharedEndpointReports.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/SharedEndpointReports.java
@@ -97,11 +97,15 @@
 
   /**
    * Called with the reports of a node when its row was read or has changed. Those of an earlier
-   * process of this node count as well. Crashes that are too old are ignored, as they stay in the
-   * row of a node that left for good.
+   * process of this node count as well, and are kept in the row. Crashes that are too old are
+   * ignored, as they stay in the row of a node that left for good.
    */
   void onReports(EndpointReports reports) {
     long nowEpochMs = System.currentTimeMillis();
+    if (reports.observer().equals(nodeId)) {
+      adopt(crashes, reports.crashes());
+      adopt(leaving, reports.leaving());
+    }
     for (CrashReport crash : reports.crashes()) {
       if (nowEpochMs - crash.epochMs() < PoisonGuard.QUARANTINE_MS) {
         poison.merge(
@@ -116,6 +120,15 @@
     }
   }
 
+  /** Adds the reports of an earlier process that the row would lose with the next write. */
+  private static <T> void adopt(Deque<T> reports, List<T> earlier) {
+    for (T report : earlier.reversed()) {
+      if (!reports.contains(report) && reports.size() < MAX_REPORTS) {
+        reports.addFirst(report);
+      }
+    }
+  }
+
   /** Called periodically. */
   void tick(long nowMs) {
     if (nowMs >= tidyAtMs) {
