Log an Error of a callback and go on watching a table after it

What operators saw: nothing.

Cause: Failures.loggingExceptions and TableWatch caught exceptions only, so an Error ended the chain of polls within a discarded stage. In the soak it was an ExceptionInInitializerError of a library, for want of an option that the jar's manifest gives.

Change: both catch Errors too and log them.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/Failures.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/Failures.java
@@ -33,7 +33,7 @@
   }
 
   /**
-   * Returns a callback that logs its exceptions, which the stage would otherwise discard silently.
+   * Returns a callback that logs what it throws, which the stage would otherwise discard silently.
    *
    * @param callback the callback of a stage
    * @param <T> the type of the value of the stage
@@ -42,7 +42,7 @@
     return (value, failure) -> {
       try {
         callback.accept(value, failure);
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         LOG.log(System.Logger.Level.ERROR, "callback-failed", e);
       }
     };
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -213,7 +213,7 @@
   private void notifyListener(Runnable call) {
     try {
       call.run();
-    } catch (RuntimeException | StackOverflowError e) {
+    } catch (RuntimeException | Error e) {
       LOG.log(
           System.Logger.Level.ERROR,
           LogEvent.of("rows-not-applied").with("table", table).with("reason", e.toString()));
