--- a/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/request/HttpRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 
@@ -164,7 +165,7 @@
      * @return this builder
      */
     public Builder header(String name, String value) {
-      headers.put(name, value);
+      headers.put(name.toLowerCase(Locale.ROOT), value);
       return this;
     }
 
