--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -9,10 +9,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.PathSwitch;
 import org.sycamoretrack.core.process.RelayPeers;
@@ -29,7 +26,6 @@
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
-import org.sycamoretrack.daemon.process.ServerDrain;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
@@ -74,23 +70,9 @@
   /** One in each zone of a deployment of three zones. */
   private static final int MAX_RELAY_PEERS = 3;
 
-  /**
-   * New caller connections still arrive for some seconds after the node reports that it isn't
-   * ready.
-   */
-  private static final long MIN_STOP_MS = 3_500;
-
-  /** Part of the grace period reserved for the work after the last response. */
-  private static final long STOP_MARGIN_MS = 700;
-
-  /** Part of {@link #STOP_MARGIN_MS} in which the last responses reach their callers. */
-  private static final long LAST_RESPONSES_MS = 300;
-
   /** Safety margin within the time after which a cancelled batch must start no more items. */
   private static final long CANCEL_MARGIN_MS = 600;
 
-  private static final long STOP_POLL_INTERVAL_MS = 50;
-
   /** Several times the duration of the first store calls after the start. */
   private static final long MAX_START_WAIT_MS = 600;
 
@@ -458,17 +440,14 @@
 
   /**
    * Stops gracefully: hands over batches and the order lease to other nodes, closes connections as
-   * {@link ServerDrain} does, and lets requests in flight complete within the grace period. New
+   * {@link PlannedStop} does, and lets requests in flight complete within the grace period. New
    * requests are served as long as they can be expected to end within it. At its end, each request
    * without a response gets one that says whether it may have run.
    */
   public void stop() {
-    long startedMs = MonotonicClock.nowMs();
-    long endMs = startedMs + settings.graceMs() - STOP_MARGIN_MS;
     stopping = true;
-    ServerDrain drain = new ServerDrain(callerServer);
-    drain.begin();
-    trafficLoop.execute(() -> components.forwarder().stopBy(endMs));
+    PlannedStop stop = new PlannedStop(callerServer, settings.graceMs());
+    trafficLoop.execute(() -> components.forwarder().stopBy(stop.endMs()));
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopping"));
     CompletableFuture<Void> handedOver = new CompletableFuture<>();
     trafficLoop.execute(
@@ -480,8 +459,8 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
-    endConnections(drain, this::endRequests, startedMs, endMs);
-    await(handedOver, endMs - MonotonicClock.nowMs());
+    stop.endConnections(this::endRequests);
+    stop.await(handedOver::isDone);
     registry.stop();
     watch.stop();
     callerServer.close();
@@ -491,33 +470,12 @@
     LOG.log(System.Logger.Level.INFO, LogEvent.of("node-stopped"));
   }
 
-  private static void endConnections(
-      ServerDrain drain, Runnable endRequests, long startedMs, long endMs) {
-    pauseUntil(Math.min(endMs, startedMs + MIN_STOP_MS), () -> false);
-    drain.stopAccepting();
-    if (!pauseUntil(endMs, drain::closeIdle)) {
-      endRequests.run();
-      pauseUntil(endMs + LAST_RESPONSES_MS, drain::closeAll);
-    }
-  }
-
   /** Answers the requests that are still open, and lets those that arrive later be refused. */
   private void endRequests() {
     stopped = true;
     trafficLoop.execute(openRequests::endAll);
   }
 
-  /** Waits until a condition holds, but not beyond a time; returns whether it holds. */
-  private static boolean pauseUntil(long endMs, BooleanSupplier condition) {
-    while (!condition.getAsBoolean()) {
-      if (MonotonicClock.nowMs() >= endMs) {
-        return false;
-      }
-      await(new CompletableFuture<>(), STOP_POLL_INTERVAL_MS);
-    }
-    return true;
-  }
-
   private CompletableFuture<Void> announceLeaving() {
     CompletableFuture<Void> announced = new CompletableFuture<>();
     controlLoop.execute(
@@ -528,16 +486,4 @@
                     Failures.loggingExceptions((done, failure) -> announced.complete(null))));
     return announced;
   }
-
-  private static void await(CompletableFuture<Void> future, long timeoutMs) {
-    try {
-      future.get(Math.max(1, timeoutMs), TimeUnit.MILLISECONDS);
-    } catch (TimeoutException e) {
-      // The deadline has passed, or the pause between two checks is over.
-    } catch (ExecutionException e) {
-      LOG.log(System.Logger.Level.WARNING, "hand-over-failed", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
