--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -60,7 +60,7 @@
   private final InetSocketAddress address;
   private final Consumer<ClientConnection> onIdle;
   private final StrayResponse.Listener strayListener;
-  private final ResponseDecoder decoder = new ResponseDecoder(this::isResponseBodiless);
+  private final ResponseDecoder decoder = new ResponseDecoder(this::isHeadRequest);
   private ChannelHandlerContext ctx;
   private ClientExchange exchange;
   private ClientExchange ended;
@@ -95,7 +95,7 @@
     return decoder;
   }
 
-  private boolean isResponseBodiless() {
+  private boolean isHeadRequest() {
     return exchange != null && exchange.request().method().equals("HEAD");
   }
 
@@ -277,9 +277,7 @@
 
   private boolean isBodiless(HttpResponse response) {
     int status = response.status().code();
-    return status == NO_CONTENT
-        || status == NOT_MODIFIED
-        || exchange.request().method().equals("HEAD");
+    return status == NO_CONTENT || status == NOT_MODIFIED || isHeadRequest();
   }
 
   private static boolean hasDefinedLength(HttpResponse response) {
