Spread relayed store calls and wake up idle nodes less often

Cause: a node that can't reach the store relays its calls through the first peer of each zone by id, so a third of 69 nodes used the same three hosts, which can't serve that many. Idle nodes also spent most of their processor time on polls of 400 ms, on timers of batches that they don't own, and on timers of metrics' exemplars.

--- a/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.core.process;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +20,11 @@
  * #REPLACEMENT_INTERVAL_MS} ms, and at most {@value #MAX_CANDIDATES} are considered, so that nodes
  * don't all dial each other while the service is down for everyone.
  *
+ * <p>A node that relays calls needs processor time for each of them. {@link #preferenceOrder} gives
+ * each node an order of its own, so that the calls of a third of a hundred nodes are spread over
+ * the others. When all of them used the first peer of each zone, these had more calls than a small
+ * host can serve, and the calls timed out.
+ *
  * <p>Example: for a node in zone a and the peers a1, a2, b1, b2, c1, the selection is a1, b1, c1.
  * When b1 reports that it can't reach the service, it becomes a1, c1, a2.
  *
@@ -65,10 +71,27 @@
     this.maxPeers = maxPeers;
   }
 
+  /**
+   * Orders the peers of a node by rendezvous hashing, so that different nodes prefer different
+   * peers and a node keeps its preference while others come and go.
+   *
+   * @param nodeId the node that needs peers
+   * @param peers the peers
+   */
+  public static List<Peer> preferenceOrder(String nodeId, Collection<Peer> peers) {
+    Map<String, Long> scores = new HashMap<>();
+    peers.forEach(peer -> scores.put(peer.nodeId(), RendezvousHash.score(nodeId, peer.nodeId())));
+    return peers.stream()
+        .sorted(
+            Comparator.comparing((Peer peer) -> scores.get(peer.nodeId()))
+                .thenComparing(Peer::nodeId))
+        .toList();
+  }
+
   /**
    * Sets the peers.
    *
-   * @param peers the live peers
+   * @param peers the live peers; those of a zone in the order of preference
    */
   public synchronized void update(List<Peer> peers) {
     candidates = interleaveZones(peers).stream().limit(MAX_CANDIDATES).toList();
--- a/core/src/test/java/org/sycamoretrack/core/process/RelayPeersTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/RelayPeersTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -92,6 +94,39 @@
     }
   }
 
+  /**
+   * Guards against relaying the calls of all nodes through the same peers: with the peers in the
+   * order of their ids, the first one of each zone relayed for all others.
+   */
+  @ParameterizedTest(name = "{0} nodes of which {1} in a hundred need peers")
+  @CsvSource({"30, 35, 3", "69, 35, 6", "87, 35, 7", "350, 35, 9"})
+  void spreadsTheCallsOfManyNodesOverTheirPeers(int nodes, int share, int maxNodesPerPeer) {
+    List<RelayPeers.Peer> all = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      all.addAll(peers("abc".charAt(i % 3) + "-" + i));
+    }
+    Map<String, Integer> relayed = new HashMap<>();
+    for (RelayPeers.Peer self : all.subList(0, nodes * share / 100)) {
+      RelayPeers ofNode = new RelayPeers(self.zone(), MAX_PEERS);
+      List<RelayPeers.Peer> others = all.stream().filter(peer -> !peer.equals(self)).toList();
+      ofNode.update(RelayPeers.preferenceOrder(self.nodeId(), others));
+      relayed.merge(ofNode.select(0).get(0).nodeId(), 1, Integer::sum);
+    }
+
+    assertThat(relayed.values()).allMatch(count -> count <= maxNodesPerPeer);
+  }
+
+  @Test
+  void keepsTheOrderOfPreferenceWhenAPeerLeaves() {
+    List<RelayPeers.Peer> all = peers("a1", "a2", "a3", "b1", "b2", "c1");
+    List<RelayPeers.Peer> before = RelayPeers.preferenceOrder("a9", all);
+
+    List<RelayPeers.Peer> after =
+        RelayPeers.preferenceOrder("a9", before.stream().skip(1).toList());
+
+    assertThat(after).isEqualTo(before.subList(1, before.size()));
+  }
+
   @Test
   void dialsFewPeersWhileTheServiceIsDownForAll() {
     String[] ids = new String[90];
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -24,6 +24,8 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Set<String> names = ConcurrentHashMap.newKeySet();
 
+  // No metric has exemplars: sampling them takes a timer of its own.
+
   /** Adds a histogram with the given upper bucket bounds. */
   Histogram histogram(String name, String help, double[] bounds, String... labels) {
     return Histogram.builder()
@@ -32,11 +34,17 @@
         .labelNames(labels)
         .classicUpperBounds(bounds)
         .classicOnly()
+        .withoutExemplars()
         .register(registry);
   }
 
   Counter counter(String name, String help, String... labels) {
-    return Counter.builder().name(prefixed(name)).help(help).labelNames(labels).register(registry);
+    return Counter.builder()
+        .name(prefixed(name))
+        .help(help)
+        .labelNames(labels)
+        .withoutExemplars()
+        .register(registry);
   }
 
   /** Adds a gauge whose value is read at each scrape, from any thread. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -245,12 +246,13 @@
   }
 
   private void onNodesChanged() {
-    watch.setNodeCount(registry.liveNodes().size());
-    relayPeers.update(
+    watch.setNodeCount(registry.liveNodes().size(), settings.drainMs());
+    List<RelayPeers.Peer> peers =
         registry.liveNodes().stream()
             .filter(node -> !node.nodeId().equals(settings.nodeId()) && !node.leaving())
             .map(node -> new RelayPeers.Peer(node.nodeId(), node.zone(), node.peerAddress()))
-            .toList());
+            .toList();
+    relayPeers.update(RelayPeers.preferenceOrder(settings.nodeId(), peers));
   }
 
   private void onDeploymentChanged() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.sycamoretrack.core.process.LongPollWait;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 
 /**
@@ -19,6 +20,7 @@
   private final ConcurrentLoadLimit loadLimit;
   private final long graceMs;
   private final long cancelMs;
+  private final long drainMs;
   private final long resultsPromisedMs;
 
   private StoreBackedNodeSettings(Builder builder) {
@@ -32,6 +34,7 @@
     this.loadLimit = Objects.requireNonNull(builder.loadLimit, "loadLimit");
     this.graceMs = builder.graceMs;
     this.cancelMs = builder.cancelMs;
+    this.drainMs = builder.drainMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
   }
 
@@ -90,6 +93,11 @@
     return cancelMs;
   }
 
+  /** Returns the time after which a draining endpoint must get no more work, in milliseconds. */
+  public long drainMs() {
+    return drainMs;
+  }
+
   /** Returns how long results remain available after a submission, in milliseconds. */
   public long resultsPromisedMs() {
     return resultsPromisedMs;
@@ -108,6 +116,7 @@
         && loadLimit.equals(that.loadLimit)
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
+        && drainMs == that.drainMs
         && resultsPromisedMs == that.resultsPromisedMs;
   }
 
@@ -128,6 +137,7 @@
     private ConcurrentLoadLimit loadLimit;
     private long graceMs;
     private long cancelMs;
+    private long drainMs = LongPollWait.MIN_DRAIN_MS;
     private long resultsPromisedMs;
 
     private Builder() {}
@@ -195,6 +205,15 @@
       return this;
     }
 
+    /**
+     * Sets the time after which a draining endpoint must get no more work, in milliseconds; {@link
+     * LongPollWait#MIN_DRAIN_MS} unless set.
+     */
+    public Builder drainMs(long value) {
+      this.drainMs = value;
+      return this;
+    }
+
     /** Sets how long results remain available after a submission, in milliseconds. */
     public Builder resultsPromisedMs(long value) {
       this.resultsPromisedMs = value;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
@@ -18,7 +17,6 @@
 import org.sycamoretrack.core.request.batch.LongestFirstOrder;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.daemon.client.EndpointClient;
-import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
@@ -44,6 +42,7 @@
   private final SlotTracker tracker;
   private final SlotPlacement placement;
   private final CoalescedTask dispatch;
+  private final ActiveTimer timer;
   private final BatchMovePolicy movePolicy = new BatchMovePolicy();
   private final LongestFirstOrder itemOrder = new LongestFirstOrder(TOKENS_PER_EVENT);
   private final List<BatchRunner> runners = new ArrayList<>();
@@ -61,8 +60,9 @@
     this.tracker = tracker;
     this.placement = placement;
     this.dispatch = new CoalescedTask(loop, this::dispatch);
-    Runnable task = Failures.periodicTask("batch-scheduler", this::tick);
-    loop.scheduleAtFixedRate(task, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    this.timer =
+        new ActiveTimer(
+            loop, "batch-scheduler", TICK_INTERVAL_MS, () -> !runners.isEmpty(), this::tick);
   }
 
   EndpointClient endpoints() {
@@ -77,6 +77,7 @@
     runners.add(runner);
     runners.sort(
         Comparator.comparingLong((BatchRunner each) -> each.batch().submission().acceptedAtMs()));
+    timer.start();
     requestDispatch();
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
@@ -20,7 +19,6 @@
 import org.sycamoretrack.core.version.routing.Manifest;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.daemon.client.EndpointClient;
-import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
@@ -47,6 +45,7 @@
   private final SlotTracker tracker;
   private final ScoreAdmission admission;
   private final CoalescedTask dispatch;
+  private final ActiveTimer timer;
   private final StoreBackedNodeMetrics metrics;
   private final Map<BatchRunner, Map<ItemProgress, ScoreCall>> pending = new HashMap<>();
 
@@ -63,8 +62,9 @@
     this.admission = new ScoreAdmission(tracker, placement);
     this.dispatch = new CoalescedTask(loop, this::dispatch);
     this.metrics = metrics;
-    Runnable task = Failures.periodicTask("score-scheduler", this::dispatch);
-    loop.scheduleAtFixedRate(task, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    this.timer =
+        new ActiveTimer(
+            loop, "score-scheduler", TICK_INTERVAL_MS, () -> !pending.isEmpty(), this::dispatch);
   }
 
   /** Scores the complete text of an item, which must have a scoring request. */
@@ -74,6 +74,7 @@
     pending
         .computeIfAbsent(runner, unused -> new HashMap<>())
         .put(item, new ScoreCall(this, runner, item, request));
+    timer.start();
     requestDispatch();
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -88,10 +88,11 @@
    * Called on the loop.
    *
    * @param nodes the number of nodes, including this one
+   * @param drainMs the time in milliseconds after which a draining endpoint must get no more work
    */
-  public void setNodeCount(int nodes) {
+  public void setNodeCount(int nodes, long drainMs) {
     List<TableWatch> watches = List.of(operators, endpoints, control);
-    long waitMs = LongPollWait.waitMs(nodes, watches.size());
+    long waitMs = LongPollWait.waitMs(nodes, watches.size(), drainMs);
     watches.forEach(watch -> watch.setWaitMs(waitMs));
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -66,7 +66,7 @@
   private final boolean partitioned;
   private final EventLoop loop;
   private final Listener listener;
-  private long waitMs = LongPollWait.waitMs(1, 1);
+  private long waitMs = LongPollWait.waitMs(1, 1, LongPollWait.MIN_DRAIN_MS);
   private long version;
   private boolean reachable = true;
   private volatile long confirmedAtMs = Long.MIN_VALUE;
