Decide in core on whose behalf a request is served

Cause: a manifest will define customers with API keys, and nodes have to tell a valid key from a revoked one and from one that a newer manifest may contain.

A new error code, customer-unknown (401).

--- a/core/src/main/java/org/sycamoretrack/core/process/ErrorCode.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/ErrorCode.java
@@ -8,6 +8,8 @@
   INVALID_REQUEST(400),
   /** The caller did not present a valid token. */
   UNAUTHENTICATED(401),
+  /** The request needs the API key of a customer and has none that is valid. */
+  CUSTOMER_UNKNOWN(401),
   /** The named resource does not exist. */
   NOT_FOUND(404),
   /** None of the nodes asked knows the step; the caller has to open it again. */
--- a/core/src/main/java/org/sycamoretrack/core/version/routing/Manifest.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/routing/Manifest.java
@@ -1,5 +1,7 @@
 package org.sycamoretrack.core.version.routing;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -22,9 +24,10 @@
   private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
   private final Map<String, RoutedService> services = new HashMap<>();
   private final long idleTimeoutMs;
+  private final CustomerKeys customers;
 
   /**
-   * Creates a manifest.
+   * Creates a manifest that defines no customers.
    *
    * @param version its version; a higher version replaces a lower one
    * @param routes the routes
@@ -33,14 +36,34 @@
    */
   public Manifest(
       long version, List<Route> routes, List<RoutedService> services, long idleTimeoutMs) {
+    this(version, routes, services, idleTimeoutMs, null);
+  }
+
+  private Manifest(
+      long version,
+      List<Route> routes,
+      List<RoutedService> services,
+      long idleTimeoutMs,
+      CustomerKeys customers) {
     this.version = version;
     this.idleTimeoutMs = idleTimeoutMs;
+    this.customers = customers;
     for (Route route : routes) {
       routesByHost.computeIfAbsent(route.host(), any -> new HashMap<>()).put(route.prefix(), route);
     }
     services.forEach(service -> this.services.put(service.name(), service));
   }
 
+  /**
+   * Returns this manifest with customers, whose keys callers need from then on.
+   *
+   * @param keys the keys of all customers
+   */
+  public Manifest withCustomers(CustomerKeys keys) {
+    return new Manifest(
+        version, routes(), List.copyOf(services.values()), idleTimeoutMs, requireNonNull(keys));
+  }
+
   /** Returns the version. */
   public long version() {
     return version;
@@ -51,6 +74,11 @@
     return idleTimeoutMs;
   }
 
+  /** Returns the keys of the customers; empty if the manifest defines no customers. */
+  public Optional<CustomerKeys> customers() {
+    return Optional.ofNullable(customers);
+  }
+
   /** Returns the services by name. */
   public Map<String, RoutedService> services() {
     return Map.copyOf(services);
--- a/core/src/main/java/org/sycamoretrack/core/version/routing/Route.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/routing/Route.java
@@ -16,6 +16,8 @@
   private final boolean singleVersion;
   private final long maxQueueMs;
   private final long dueMs;
+  private final boolean authExempt;
+  private final int priority;
 
   private Route(Builder builder) {
     this.name = Objects.requireNonNull(builder.name, "name");
@@ -29,6 +31,8 @@
     this.singleVersion = builder.singleVersion;
     this.maxQueueMs = builder.maxQueueMs;
     this.dueMs = builder.dueMs;
+    this.authExempt = builder.authExempt;
+    this.priority = builder.priority;
   }
 
   /** Returns a builder. */
@@ -93,6 +97,16 @@
     return dueMs;
   }
 
+  /** Returns whether requests need no API key, even if the manifest defines customers. */
+  public boolean authExempt() {
+    return authExempt;
+  }
+
+  /** Returns the priority of requests whose customer has none, 0 for the highest. */
+  public int priority() {
+    return priority;
+  }
+
   /**
    * Selects the service of a request at random, in proportion to the weights.
    *
@@ -127,6 +141,8 @@
     private boolean singleVersion;
     private long maxQueueMs;
     private long dueMs;
+    private boolean authExempt;
+    private int priority;
 
     private Builder() {}
 
@@ -198,6 +214,18 @@
       return this;
     }
 
+    /** Sets whether requests need no API key. */
+    public Builder authExempt(boolean value) {
+      this.authExempt = value;
+      return this;
+    }
+
+    /** Sets the priority of requests whose customer has none, 0 for the highest. */
+    public Builder priority(int value) {
+      this.priority = value;
+      return this;
+    }
+
     /** Returns the route. */
     public Route build() {
       return new Route(this);
