--- a/transport/src/main/java/org/sycamoretrack/transport/process/Json.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/process/Json.java
@@ -42,6 +42,29 @@
     }
   }
 
+  /**
+   * Parses exactly one JSON value, as {@link #parse} does, from input that may contain secrets. The
+   * message of the exception has the position of the fault and no part of the input.
+   *
+   * @param bytes JSON in UTF-8
+   * @return the value
+   * @throws IllegalArgumentException if the bytes are not valid JSON; the message is a single line
+   */
+  public static JsonNode parseConfidential(byte[] bytes) {
+    try {
+      return parse(bytes);
+    } catch (IllegalArgumentException e) {
+      String position =
+          e.getCause() instanceof JsonProcessingException cause && cause.getLocation() != null
+              ? " at line "
+                  + cause.getLocation().getLineNr()
+                  + ", column "
+                  + cause.getLocation().getColumnNr()
+              : "";
+      throw new IllegalArgumentException("not JSON" + position, e);
+    }
+  }
+
   /**
    * Parses exactly one JSON value; trailing input is an error.
    *
