Authenticate callers by API key and give batches a customer

Cause: nodes served any caller, passed a caller's Authorization and X-Tenant on to endpoints, and let anyone read or end any batch.

Change: where the manifest defines customers, a request is authenticated after routing: 401, or 503 while the manifest may be outdated. Endpoints get the customer's name in place of the headers by which a caller, or an item, identified itself. The head row of a batch has the customer and the priority. Another customer's batch is answered as a missing one, and each write of a submission is on the condition that no batch has its id.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
@@ -6,6 +6,7 @@
 import org.sycamoretrack.core.request.scoring.ScoreOutcome;
 import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.transport.request.HttpCall;
 import org.sycamoretrack.transport.request.HttpResponse;
 
@@ -25,6 +26,8 @@
    * @param host the host that the caller addressed
    * @param headers its end-to-end headers
    * @param body its body, which must not be changed
+   * @param customer on whose behalf it is sent
+   * @param priority its priority, 0 for the highest
    */
   @SuppressWarnings("ArrayRecordComponent")
   record PlainRequest(
@@ -33,11 +36,33 @@
       String target,
       String host,
       Map<String, String> headers,
-      byte[] body) {
+      byte[] body,
+      RequestCustomer customer,
+      int priority) {
     /** Copies the headers. */
     public PlainRequest {
       headers = Map.copyOf(headers);
     }
+
+    /**
+     * Creates a request in a deployment without customers, with the highest priority.
+     *
+     * @param requestId the request id that the caller chose
+     * @param method the HTTP method
+     * @param target path and query
+     * @param host the host that the caller addressed
+     * @param headers its end-to-end headers
+     * @param body its body, which must not be changed
+     */
+    public PlainRequest(
+        String requestId,
+        String method,
+        String target,
+        String host,
+        Map<String, String> headers,
+        byte[] body) {
+      this(requestId, method, target, host, headers, body, new RequestCustomer.Undefined(), 0);
+    }
   }
 
   /**
@@ -227,24 +252,36 @@
    *
    * @param endpoint the endpoint
    * @param request the request
+   * @param customer the customer of the batch
    * @param timeoutMs the time limit of the call in milliseconds
    * @param listener receives the outcome
    * @return the call; cancelling it stops the execution, and the listener is not called any more
    */
-  HttpCall score(Endpoint endpoint, ScoreRequest request, long timeoutMs, ScoreListener listener);
+  HttpCall score(
+      Endpoint endpoint,
+      ScoreRequest request,
+      RequestCustomer customer,
+      long timeoutMs,
+      ScoreListener listener);
 
   /**
    * Executes a batch item.
    *
    * @param endpoint the endpoint
    * @param host the host of the batch's route
+   * @param customer the customer of the batch
    * @param item the item
    * @param afterEvent the number of the last event received, 0 to start from the beginning
    * @param listener receives the events
    * @return the call; cancelling it ends the execution with {@link RunEnd#INTERRUPTED}
    */
   HttpCall runItem(
-      Endpoint endpoint, String host, BatchItem item, int afterEvent, ItemListener listener);
+      Endpoint endpoint,
+      String host,
+      RequestCustomer customer,
+      BatchItem item,
+      int afterEvent,
+      ItemListener listener);
 
   /**
    * Sends a load command. The stage fails when no response arrives; the command may then still be
--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/MeteredEndpointClient.java
@@ -7,6 +7,7 @@
 import org.sycamoretrack.core.request.scoring.ScoreOutcome;
 import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.transport.request.HttpCall;
 
@@ -50,11 +51,16 @@
 
   @Override
   public HttpCall score(
-      Endpoint endpoint, ScoreRequest request, long timeoutMs, ScoreListener listener) {
+      Endpoint endpoint,
+      ScoreRequest request,
+      RequestCustomer customer,
+      long timeoutMs,
+      ScoreListener listener) {
     long sentMs = MonotonicClock.nowMs();
     return endpoints.score(
         endpoint,
         request,
+        customer,
         timeoutMs,
         (outcome, load) -> {
           metrics.onScoreCall(outcome(outcome), MonotonicClock.nowMs() - sentMs);
@@ -73,11 +79,17 @@
 
   @Override
   public HttpCall runItem(
-      Endpoint endpoint, String host, BatchItem item, int afterEvent, ItemListener listener) {
+      Endpoint endpoint,
+      String host,
+      RequestCustomer customer,
+      BatchItem item,
+      int afterEvent,
+      ItemListener listener) {
     long startedMs = MonotonicClock.nowMs();
     return endpoints.runItem(
         endpoint,
         host,
+        customer,
         item,
         afterEvent,
         new ItemListener() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -53,6 +53,9 @@
   private final Counter refusals =
       registry.counter(
           "refusals_total", "Calls answered with an error that the node itself raised", "code");
+  private final Counter unauthorized =
+      registry.counter(
+          "requests_unauthorized_total", "Calls refused because they carry no key of a customer");
   private final Counter attempts =
       registry.counter("attempts_total", "Plain requests sent to endpoints by outcome", "outcome");
   private final Histogram attemptTime =
@@ -167,6 +170,11 @@
     refusals.labelValues(MetricsRegistry.label(code)).inc();
   }
 
+  /** Records a call that was refused because it carries no key of a customer. */
+  public void onUnauthorized() {
+    unauthorized.inc();
+  }
+
   /**
    * Records the outcome of a plain request at one endpoint.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeStateJson.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeStateJson.java
@@ -28,11 +28,14 @@
     ObjectNode json = Json.object().put("complete", watch.isComplete());
     view.manifest()
         .ifPresent(
-            manifest ->
-                json.putObject("manifest")
-                    .put("version", manifest.version())
-                    .put("ageMs", watch.manifestAgeMs())
-                    .put("routes", manifest.routes().size()));
+            manifest -> {
+              ObjectNode manifestJson =
+                  json.putObject("manifest")
+                      .put("version", manifest.version())
+                      .put("ageMs", watch.manifestAgeMs())
+                      .put("routes", manifest.routes().size());
+              manifest.customers().ifPresent(keys -> manifestJson.put("customerKeys", keys.size()));
+            });
     view.announcedVersions().forEach(json.putObject("namedVersions")::put);
     ArrayNode endpoints = json.putArray("endpoints");
     for (Endpoint endpoint : view.fleet().all()) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchReader.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchReader.java
@@ -15,10 +15,12 @@
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemResult;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.client.PartitionedStore;
 import org.sycamoretrack.daemon.client.PartitionedStore.Page;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
+import org.sycamoretrack.daemon.process.LogEvent;
 
 /**
  * Reads batches of any node from the rows in the store, which never change once they are committed.
@@ -40,6 +42,8 @@
 
   private static final int MAX_CACHED_HEADS = 2_000;
 
+  private static final System.Logger LOG = System.getLogger(BatchReader.class.getName());
+
   /**
    * A range of the results of a batch.
    *
@@ -84,6 +88,40 @@
     this.openBatches = openBatches;
   }
 
+  /**
+   * Returns whether a batch exists and a customer may access it. Where the manifest defines no
+   * customers, the answer is true without a look at the batch, which may not exist then.
+   *
+   * @param batchId the id of the batch
+   * @param customer the customer that wants to access it
+   */
+  public CompletionStage<Boolean> isAccessible(String batchId, RequestCustomer customer) {
+    if (customer instanceof RequestCustomer.Undefined) {
+      return CompletableFuture.completedFuture(true);
+    }
+    Optional<BatchSubmission> openBatch = openBatches.apply(batchId);
+    if (openBatch.isPresent()) {
+      return CompletableFuture.completedFuture(
+          mayAccess(customer, batchId, openBatch.get().customer()));
+    }
+    return head(batchId)
+        .thenApply(head -> head.isPresent() && mayAccess(customer, batchId, head.get().customer()));
+  }
+
+  /** Returns whether a customer may access a stored batch, and logs it if not. */
+  static boolean mayAccess(RequestCustomer customer, String batchId, String storedName) {
+    boolean allowed = customer.mayAccess(storedName);
+    if (!allowed) {
+      // The response is that of a batch that doesn't exist; only the log tells them apart.
+      LOG.log(
+          System.Logger.Level.INFO,
+          LogEvent.of("batch-access-refused")
+              .with("batch", batchId)
+              .with("customer", customer.name()));
+    }
+    return allowed;
+  }
+
   /**
    * Reads results.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
@@ -1,7 +1,6 @@
 package org.sycamoretrack.daemon.request.batch;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -13,12 +12,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
-import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.ItemText;
-import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.daemon.client.PartitionWrite;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 import org.sycamoretrack.daemon.process.LogEvent;
@@ -62,6 +59,12 @@
   /** Keeps a write below the store's limit of 1 MB; the text encoding is a third larger. */
   static final int MAX_ROWS_PER_WRITE = 12;
 
+  /** Field of the head; rows of batches without a customer don't have it. */
+  private static final String CUSTOMER = "customer";
+
+  /** Field of the head; rows of batches with the highest priority don't have it. */
+  private static final String PRIORITY = "priority";
+
   private static final String ITEMS_PREFIX = "items.";
   private static final String TEXT_PREFIX = "text.";
   private static final String FAILURES_PREFIX = "failures.";
@@ -75,13 +78,15 @@
    *
    * @param itemCount the number of items
    * @param itemsName the name in the keys of the valid item rows
+   * @param customer the name of the customer that submitted the batch, empty if there is none
    * @param json the content of the row
    */
-  record Head(int itemCount, String itemsName, JsonNode json) {}
+  record Head(int itemCount, String itemsName, String customer, JsonNode json) {}
 
   /**
-   * Returns the writes that store a submitted batch, in order. The last one contains the head, on
-   * the condition that none exists; the rows of the others aren't read until a head refers to them.
+   * Returns the writes that store a submitted batch, in order, each on the condition that no head
+   * exists. The last one contains the head; the rows of the others aren't read until a head refers
+   * to them.
    *
    * @param batch the submitted batch
    */
@@ -99,49 +104,32 @@
         .put("maxQueueMs", batch.routeSettings().maxQueueMs())
         .put("dueMs", batch.routeSettings().dueMs())
         .put("acceptedAtMs", batch.acceptedAtMs());
+    if (!batch.customer().isEmpty()) {
+      head.put(CUSTOMER, batch.customer());
+    }
+    if (batch.priority() != 0) {
+      head.put(PRIORITY, batch.priority());
+    }
     List<PartitionWrite.Builder> writes = new ArrayList<>();
-    PartitionWrite.Builder write = PartitionWrite.in(batch.id());
+    PartitionWrite.Builder write = beforeHead(batch.id());
     int rows = 0;
-    for (Slice slice : split(ITEMS_PREFIX + name, itemsJson(batch.items()))) {
+    for (Slice slice : split(ITEMS_PREFIX + name, BatchItemCodec.encode(batch.items()))) {
       if (rows == MAX_ROWS_PER_WRITE) {
         writes.add(write);
-        write = PartitionWrite.in(batch.id());
+        write = beforeHead(batch.id());
         rows = 0;
       }
       write.put(BATCH_TABLE, slice.key(), slice.bytes());
       rows++;
     }
-    write
-        .expect(BATCH_TABLE, HEAD_KEY, PartitionWrite.ABSENT)
-        .put(BATCH_TABLE, HEAD_KEY, Json.toBytes(head));
+    write.put(BATCH_TABLE, HEAD_KEY, Json.toBytes(head));
     writes.add(write);
     return writes;
   }
 
-  private static byte[] itemsJson(List<BatchItem> items) {
-    ArrayNode array = Json.mapper().createArrayNode();
-    for (BatchItem item : items) {
-      ObjectNode node =
-          array
-              .addObject()
-              .put("id", item.id())
-              .put("path", item.path())
-              .put("body", item.body())
-              .put("model", item.model())
-              .put("group", item.group())
-              .put("lengthHint", item.lengthHint())
-              .put("maxTokens", item.maxTokens());
-      item.scoreRequest()
-          .ifPresent(
-              request ->
-                  node.putObject("scorer")
-                      .put("id", request.id())
-                      .put("host", request.host())
-                      .put("path", request.path())
-                      .put("body", request.body()));
-      item.headers().forEach(node.putObject("headers")::put);
-    }
-    return Json.toBytes(array);
+  /** Returns a write that has no effect if a batch has the id, which may be another customer's. */
+  private static PartitionWrite.Builder beforeHead(String batchId) {
+    return PartitionWrite.in(batchId).expect(BATCH_TABLE, HEAD_KEY, PartitionWrite.ABSENT);
   }
 
   /**
@@ -152,7 +140,8 @@
    */
   static Head readHead(Row row) {
     JsonNode json = Json.parse(row.value());
-    return new Head(json.path("items").asInt(), json.path("name").asText(), json);
+    return new Head(
+        json.path("items").asInt(), json.path("name").asText(), json.path(CUSTOMER).asText(), json);
   }
 
   /**
@@ -184,46 +173,9 @@
             json.path("maxQueueMs").asLong(),
             json.path("dueMs").asLong()),
         json.path("acceptedAtMs").asLong(),
-        readItems(Json.parse(items)));
-  }
-
-  private static List<BatchItem> readItems(JsonNode array) {
-    List<BatchItem> items = new ArrayList<>();
-    for (JsonNode node : array) {
-      Map<String, String> headers = new TreeMap<>();
-      node.path("headers")
-          .properties()
-          .forEach(header -> headers.put(header.getKey(), header.getValue().asText()));
-      items.add(
-          BatchItem.builder(items.size(), node.path("id").asText(), node.path("path").asText())
-              .headers(headers)
-              .body(bytes(node.path("body")))
-              .model(node.path("model").asText())
-              .group(node.path("group").asText())
-              .lengthHint(node.path("lengthHint").asInt())
-              .maxTokens(node.path("maxTokens").asInt())
-              .scoreRequest(readScoreRequest(node.path("scorer")))
-              .build());
-    }
-    return items;
-  }
-
-  private static ScoreRequest readScoreRequest(JsonNode node) {
-    return node.isMissingNode()
-        ? null
-        : new ScoreRequest(
-            node.path("id").asText(),
-            node.path("host").asText(),
-            node.path("path").asText(),
-            bytes(node.path("body")));
-  }
-
-  private static byte[] bytes(JsonNode node) {
-    try {
-      return node.binaryValue() == null ? new byte[0] : node.binaryValue();
-    } catch (IOException e) {
-      throw new IllegalArgumentException("the body of an item is not valid base64", e);
-    }
+        BatchItemCodec.decode(items),
+        head.customer(),
+        json.path(PRIORITY).asInt());
   }
 
   /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -153,7 +153,7 @@
         .add(endpoint.id());
     ItemRun run = new ItemRun(this, scheduler, item, endpoint);
     runs.put(item, run);
-    run.start(batch.submission().host());
+    run.start();
   }
 
   /** Called when a run ended without a result. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -14,9 +14,11 @@
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchMovePolicy;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.LongestFirstOrder;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
@@ -73,6 +75,11 @@
     return tracker;
   }
 
+  /** Returns the customer of the requests that are made for a batch. */
+  RequestCustomer customerOf(BatchSubmission batch) {
+    return views.get().customerOf(batch);
+  }
+
   void add(BatchRunner runner) {
     runners.add(runner);
     runners.sort(
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.request.batch;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
@@ -55,7 +56,9 @@
     /** The batch isn't stored and won't run. */
     NOT_ACCEPTED,
     /** The batch may be stored already or later. */
-    UNKNOWN
+    UNKNOWN,
+    /** A batch of another customer has the id; nothing is stored. */
+    OTHER_CUSTOMER
   }
 
   private final PartitionedStore store;
@@ -105,14 +108,17 @@
   }
 
   /**
-   * Accepts a batch. Submitting the same batch again has no further effect.
+   * Accepts a batch. Submitting the same batch again has no further effect. The id of a batch that
+   * its customer may not access is refused.
    *
    * @param batch the batch
    * @return the outcome
    */
   public CompletionStage<Acceptance> accept(BatchSubmission batch) {
-    if (runners.containsKey(batch.id())) {
-      return CompletableFuture.completedFuture(Acceptance.ACCEPTED);
+    BatchRunner runner = runners.get(batch.id());
+    if (runner != null) {
+      return CompletableFuture.completedFuture(
+          onStored(batch, runner.batch().submission().customer()));
     }
     CompletableFuture<Acceptance> outcome = new CompletableFuture<>();
     List<PartitionWrite.Builder> writes = BatchRowCodec.submissionWrites(batch);
@@ -126,6 +132,13 @@
     return outcome;
   }
 
+  /** Returns the outcome of a submission whose id belongs to a stored batch. */
+  private Acceptance onStored(BatchSubmission batch, String storedCustomer) {
+    return BatchReader.mayAccess(scheduler.customerOf(batch), batch.id(), storedCustomer)
+        ? Acceptance.ACCEPTED
+        : Acceptance.OTHER_CUSTOMER;
+  }
+
   /** Executes the writes of one submission in sequence, with retries. */
   private final class SubmissionWriter {
     private final BatchSubmission batch;
@@ -183,7 +196,7 @@
       }
       // The conflicting head may be this submission's own, committed by a write whose response was
       // lost. In that case the batch is run once the owner table shows it.
-      end(Acceptance.ACCEPTED);
+      end(onStored(batch, BatchRowCodec.readHead(head).customer()));
     }
 
     private void onFailure(Throwable failure) {
@@ -351,9 +364,11 @@
     long nowMs = MonotonicClock.nowMs();
     for (BatchRunner runner : runners.values()) {
       OpenBatch batch = runner.batch();
-      json.addObject()
-          .put("id", batch.submission().id())
-          .put("ownerVersion", runner.owner().version())
+      ObjectNode row = json.addObject().put("id", batch.submission().id());
+      if (!batch.submission().customer().isEmpty()) {
+        row.put("customer", batch.submission().customer());
+      }
+      row.put("ownerVersion", runner.owner().version())
           .put("minVersion", batch.submission().minVersion())
           .put("ageMs", System.currentTimeMillis() - batch.submission().acceptedAtMs())
           .put("items", batch.items().size())
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ItemRun.java
@@ -62,9 +62,19 @@
     this.resumedAfterEvent = item.text().lastEvent();
   }
 
-  void start(String host) {
+  void start() {
     scheduler.tracker().onSent(endpoint.id());
-    call = scheduler.endpoints().runItem(endpoint, host, item.item(), resumedAfterEvent, this);
+    BatchSubmission batch = runner.batch().submission();
+    call =
+        scheduler
+            .endpoints()
+            .runItem(
+                endpoint,
+                batch.host(),
+                scheduler.customerOf(batch),
+                item.item(),
+                resumedAfterEvent,
+                this);
   }
 
   ItemProgress item() {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreCall.java
@@ -3,12 +3,14 @@
 import java.util.Set;
 import org.sycamoretrack.core.connection.SlotTracker;
 import org.sycamoretrack.core.process.MonotonicClock;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.scoring.ScoreDecision;
 import org.sycamoretrack.core.request.scoring.ScoreOutcome;
 import org.sycamoretrack.core.request.scoring.ScoreProgress;
 import org.sycamoretrack.core.request.scoring.ScoreRequest;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.process.LogEvent;
@@ -61,20 +63,24 @@
     return avoidedEndpoints;
   }
 
-  /** Sends the next call. */
-  void send(Endpoint target, Route route) {
+  BatchSubmission batch() {
+    return runner.batch().submission();
+  }
+
+  /** Sends the next call on behalf of the batch's customer. */
+  void send(Endpoint target, Route route, RequestCustomer customer) {
     progress.onSent();
     endpoint = target;
     scheduler.admission().onSent(target.id());
     // Both routes limit the attempts of this item; a text is kept as long as either allows.
-    int maxFailures =
-        Math.max(route.attempts(), runner.batch().submission().routeSettings().attempts());
+    int maxFailures = Math.max(route.attempts(), batch().routeSettings().attempts());
     HttpCall started =
         scheduler
             .endpoints()
             .score(
                 target,
                 request,
+                customer,
                 progress.timeoutMs(),
                 (outcome, load) -> onOutcome(target, outcome, load, maxFailures));
     boolean endedAtOnce = endpoint == null;
@@ -143,7 +149,7 @@
   /** Returns a log event that identifies the call. */
   LogEvent describe(String event) {
     return LogEvent.of(event)
-        .with("batch", runner.batch().submission().id())
+        .with("batch", batch().id())
         .with("item", item.item().id())
         .with("request", request.id())
         .with("failures", progress.failures());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/ScoreScheduler.java
@@ -165,7 +165,7 @@
         admission.choose(
             candidates, call.avoidedEndpoints(), call.progress().elapsedMs(nowMs), nowMs);
     if (endpoint != null) {
-      call.send(endpoint, route.get());
+      call.send(endpoint, route.get(), view.customerOf(call.batch()));
     }
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentView.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentView.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.fleet.Fleet;
 import org.sycamoretrack.core.version.routing.Manifest;
+import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
@@ -59,6 +61,16 @@
     return known != null && known.loading().contains(model);
   }
 
+  /**
+   * Returns the customer of the requests that a node makes for a batch.
+   *
+   * @param batch the batch
+   */
+  public RequestCustomer customerOf(BatchSubmission batch) {
+    return RequestCustomer.ofBatch(
+        batch.customer(), manifest.flatMap(Manifest::customers).isPresent());
+  }
+
   /**
    * Returns the endpoints that are assigned to a model and in service.
    *
--- a/daemon/src/test/java/org/sycamoretrack/daemon/request/batch/BatchRowCodecTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/request/batch/BatchRowCodecTest.java
@@ -14,11 +14,12 @@
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.ItemText;
 import org.sycamoretrack.core.request.batch.OpenBatch;
+import org.sycamoretrack.daemon.client.PartitionWrite;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 
 /**
- * Tests of reading partial texts and failures: rows that an earlier owner left behind must neither
- * stop a takeover nor end up in the text of an item.
+ * Tests of the rows of submissions, and of reading partial texts and failures: rows that an earlier
+ * owner left behind must neither stop a takeover nor end up in the text of an item.
  */
 class BatchRowCodecTest {
   private static final int LONG_TEXT = 200_000;
@@ -58,6 +59,93 @@
     assertThat(BatchRowCodec.readTexts(rows)).containsOnlyKeys(1);
   }
 
+  private static BatchSubmission submission(int bodyBytes) {
+    BatchItem item =
+        BatchItem.builder(0, "item-0", "/x").body(new byte[bodyBytes]).model("m").build();
+    return new BatchSubmission(
+        "b",
+        "h",
+        "s",
+        1,
+        0,
+        new BatchSubmission.RouteSettings(3, false, 40_000, 7_500),
+        5,
+        List.of(item));
+  }
+
+  private static List<PartitionWrite> writes(BatchSubmission batch) {
+    return BatchRowCodec.submissionWrites(batch).stream()
+        .map(PartitionWrite.Builder::build)
+        .toList();
+  }
+
+  private static List<Row> stored(BatchSubmission batch) {
+    return writes(batch).stream()
+        .flatMap(write -> write.puts().stream())
+        .map(put -> new Row(put.table(), "b", put.key(), put.value(), 1))
+        .toList();
+  }
+
+  private static Row head(List<Row> rows) {
+    return rows.stream()
+        .filter(row -> row.key().equals(BatchRowCodec.HEAD_KEY))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Guards against a batch that a node takes over without its customer or its priority. */
+  @ParameterizedTest
+  @CsvSource({"a, 0", "a, 3", "'', 0", "'', 3"})
+  void submissionIsReadWithItsCustomerAndPriority(String customer, int priority) {
+    List<Row> rows = stored(submission(2).submittedBy(customer, priority));
+
+    BatchSubmission read = BatchRowCodec.readSubmission("b", rows);
+
+    assertThat(read.customer()).isEqualTo(customer);
+    assertThat(read.priority()).isEqualTo(priority);
+    assertThat(read.items()).hasSize(1);
+    assertThat(BatchRowCodec.readHead(head(rows)).customer()).isEqualTo(customer);
+  }
+
+  /** A head as it was written before batches had customers; the item rows are unchanged. */
+  @Test
+  void rowWrittenWithoutACustomerIsReadable() {
+    List<Row> rows = new ArrayList<>(stored(submission(2)));
+    Row written = head(rows);
+    String name = BatchRowCodec.readHead(written).itemsName();
+    String json =
+        "{\"items\":1,\"name\":\""
+            + name
+            + "\",\"host\":\"h\",\"service\":\"s\",\"minVersion\":1,\"targetGroups\":0,"
+            + "\"attempts\":3,\"singleVersion\":false,\"maxQueueMs\":40000,\"dueMs\":7500,"
+            + "\"acceptedAtMs\":5}";
+    assertThat(new String(written.value(), StandardCharsets.UTF_8))
+        .as("a batch without a customer is written as before")
+        .isEqualTo(json);
+
+    BatchSubmission read = BatchRowCodec.readSubmission("b", rows);
+
+    assertThat(read.customer()).isEmpty();
+    assertThat(read.priority()).isZero();
+  }
+
+  /** Guards against rows that one customer leaves in the partition of another customer's batch. */
+  @Test
+  void noWriteOfASubmissionTakesEffectIfTheBatchExists() {
+    List<PartitionWrite> writes = writes(submission(1_200_000));
+
+    assertThat(writes).hasSizeGreaterThan(1);
+    assertThat(writes)
+        .allSatisfy(
+            write ->
+                assertThat(write.conditions())
+                    .containsExactly(
+                        new PartitionWrite.Condition(
+                            BatchRowCodec.BATCH_TABLE,
+                            BatchRowCodec.HEAD_KEY,
+                            PartitionWrite.ABSENT)));
+  }
+
   private static List<ItemProgress> items(int count) {
     List<BatchItem> items = new ArrayList<>();
     for (int i = 0; i < count; i++) {
