Generalise the lease for load commands to duties, and add the port to the control service

Cause: usage reports and capacity orders go to the operator's control service, and each kind is the duty of one node at a time. The lease that permits this existed for load commands only.

Change: OrderLease becomes daemon.version.duty.DutyLease, named by its Duty, with a row in control/<duty>. Row, timings, decisions and log events of load commands stay as they were; the events gain the field duty. No duty is performed yet, and no lease of usage or capacity exists.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
@@ -1,7 +1,9 @@
 package org.sycamoretrack.daemon.process.storebacked;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.Optional;
 import org.sycamoretrack.daemon.client.DeploymentCodec;
+import org.sycamoretrack.daemon.client.DutyClient;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.PartitionedStore;
 import org.sycamoretrack.transport.request.HttpHandler;
@@ -31,6 +33,13 @@
       EndpointClient.LeavingListener leavingListener,
       StrayResponse.Listener strayListener);
 
+  /**
+   * Returns a client of the control service; empty where the deployment has none.
+   *
+   * @param group the event loops on which its stages complete
+   */
+  Optional<DutyClient> duties(EventLoopGroup group);
+
   /** Returns the codec for the rows that operators, trainers and endpoints write. */
   DeploymentCodec codec();
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 
 /**
@@ -20,6 +21,7 @@
   private final long graceMs;
   private final long cancelMs;
   private final long resultsPromisedMs;
+  private final ControlServiceSettings controlService;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -33,9 +35,10 @@
     this.graceMs = builder.graceMs;
     this.cancelMs = builder.cancelMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
+    this.controlService = builder.controlService;
   }
 
-  /** Returns a builder; all values must be set. */
+  /** Returns a builder; all values must be set, except that of the control service. */
   public static Builder builder() {
     return new Builder();
   }
@@ -95,6 +98,11 @@
     return resultsPromisedMs;
   }
 
+  /** Returns the settings of the control service; empty where the deployment has none. */
+  public Optional<ControlServiceSettings> controlService() {
+    return Optional.ofNullable(controlService);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -108,7 +116,8 @@
         && loadLimit.equals(that.loadLimit)
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
-        && resultsPromisedMs == that.resultsPromisedMs;
+        && resultsPromisedMs == that.resultsPromisedMs
+        && Objects.equals(controlService, that.controlService);
   }
 
   @Override
@@ -129,6 +138,7 @@
     private long graceMs;
     private long cancelMs;
     private long resultsPromisedMs;
+    private ControlServiceSettings controlService;
 
     private Builder() {}
 
@@ -201,6 +211,12 @@
       return this;
     }
 
+    /** Sets the control service; null, the default, where the deployment has none. */
+    public Builder controlService(ControlServiceSettings value) {
+      this.controlService = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
@@ -20,13 +20,16 @@
  *   <tr><th>table</th><th>partition</th><th>key</th><th>holds</th></tr>
  *   <tr><td>control</td><td>a batch</td><td>owner</td><td>the node that runs it</td></tr>
  *   <tr><td>control</td><td>orders</td><td>lease</td><td>who may send load commands</td></tr>
+ *   <tr><td>control</td><td>usage</td><td>lease</td><td>who may report usage</td></tr>
+ *   <tr><td>control</td><td>capacity</td><td>lease</td><td>who may order capacity</td></tr>
  *   <tr><td>control</td><td>orders</td><td>weights</td><td>the {@link WeightPlan}</td></tr>
  *   <tr><td>control</td><td>reports</td><td>a node</td><td>its {@link EndpointReports}</td></tr>
  *   <tr><td>nodes</td><td>(empty)</td><td>a node</td><td>its heartbeat</td></tr>
  * </table>
  *
  * <p>Clients choose the ids of batches, so a batch may have the id {@value #ORDERS} or {@value
- * #REPORTS}. Its row does not conflict, since the keys differ.
+ * #REPORTS}, or that of another partition named here. Its row does not conflict, since the keys
+ * differ.
  */
 public final class ControlTables {
   /** The table of owners and leases, which all nodes watch. */
@@ -38,7 +41,7 @@
   /** The partition with the rows about load commands. */
   public static final String ORDERS = "orders";
 
-  /** The key of the lease in {@link #ORDERS}. */
+  /** The key of the lease in the partition of a duty, such as {@link #ORDERS}. */
   public static final String LEASE = "lease";
 
   /** The key of the {@link WeightPlan} in {@link #ORDERS}. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -376,7 +376,7 @@
           }
         }
         default -> {
-          // OrderLease reads the lease row by itself.
+          // DutyLease reads the lease rows by itself.
         }
       }
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/OrderLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/duty/DutyLease.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.version.weights;
+package org.sycamoretrack.daemon.version.duty;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
@@ -19,28 +19,28 @@
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 
 /**
- * The lease that permits one node to send load commands, stored as a row of the store.
+ * The lease that permits one node to perform a {@link Duty}, stored as a row of the store.
  *
- * <p>Endpoints are not required to check epochs, so a holder sends a load command only while no
- * other node can hold the lease. {@link #maySendLoadCommands} measures the time since the last
- * renewal was sent, both with the monotonic and with the wall clock, and uses the larger value,
- * since the monotonic clock stops while the host is suspended. After acquiring the lease, a new
- * holder delays its first command, so that at least {@value #HANDOVER_DELAY_MS} ms pass between
- * commands of two holders. The row says how much of this delay is left, so that a new process of
- * the host that holds the lease waits for the rest of it.
+ * <p>The systems that the holder calls are not required to check epochs, so a holder calls only
+ * while no other node can hold the lease. {@link #mayCall} measures the time since the last renewal
+ * was sent, both with the monotonic and with the wall clock, and uses the larger value, since the
+ * monotonic clock stops while the host is suspended. After acquiring the lease, a new holder delays
+ * its first call, so that at least {@value #HANDOVER_DELAY_MS} ms pass between calls of two
+ * holders. The row says how much of this delay is left, so that a new process of the host that
+ * holds the lease waits for the rest of it.
  *
  * <p>Confined to the control loop.
  */
-final class OrderLease {
+public final class DutyLease {
   /**
-   * The holder stops sending load commands 1.4 s after its last renewal; others take over after 2.4
-   * s without one.
+   * The holder stops calling 1.4 s after its last renewal; others take over after 2.4 s without
+   * one.
    */
   private static final LeaseTimings TIMINGS = new LeaseTimings(1_900, 500, 500, 200);
 
   /**
-   * Endpoints treat load commands of two holders within 3 s of each other as alternating commands
-   * of concurrent holders; this adds a margin of 10%.
+   * The platform treats calls of two holders within 3 s of each other as alternating calls of
+   * concurrent holders; this adds a margin of 10%.
    */
   private static final long HANDOVER_DELAY_MS = 3_300;
 
@@ -54,8 +54,9 @@
   private static final long CALL_TIMEOUT_MS = 500;
 
   private static final long TICK_MS = 100;
-  private static final System.Logger LOG = System.getLogger(OrderLease.class.getName());
+  private static final System.Logger LOG = System.getLogger(DutyLease.class.getName());
 
+  private final Duty duty;
   private final PartitionedStore store;
   private final EventLoop loop;
   private final String holder;
@@ -73,12 +74,15 @@
   /**
    * Creates a lease that this node does not hold.
    *
+   * @param duty the duty that the lease permits
    * @param store the store, which completes calls on the loop
    * @param loop the control loop
    * @param holder identifies this host; a host that replaces it must have another value
    * @param incarnation identifies this run of the process
    */
-  OrderLease(PartitionedStore store, EventLoop loop, String holder, String incarnation) {
+  public DutyLease(
+      Duty duty, PartitionedStore store, EventLoop loop, String holder, String incarnation) {
+    this.duty = duty;
     this.store = store;
     this.loop = loop;
     this.holder = holder;
@@ -94,8 +98,8 @@
    * Starts to renew the lease while it is held, and to acquire it while this node is a candidate or
    * an earlier process of this host was the last holder.
    */
-  void start() {
-    Runnable task = Failures.periodicTask("order-lease", this::tick);
+  public void start() {
+    Runnable task = Failures.periodicTask(duty.id() + "-lease", this::tick);
     loop.scheduleAtFixedRate(task, 0, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -103,23 +107,23 @@
    * Sets whether this node tries to acquire the lease. Among many nodes only a few need to be
    * candidates.
    */
-  void setCandidate(boolean isCandidate) {
+  public void setCandidate(boolean isCandidate) {
     candidate = isCandidate;
   }
 
   /** Returns the epoch, or 0 when this node does not hold the lease. */
-  long epoch() {
+  public long epoch() {
     return lease.epoch();
   }
 
-  /** Returns whether this node holds the lease and may therefore plan loads. */
-  boolean isHeld() {
+  /** Returns whether this node holds the lease and may therefore prepare calls. */
+  public boolean isHeld() {
     long elapsedMs = renewalStopwatch.elapsedMs(MonotonicClock.nowMs(), System.currentTimeMillis());
     return lease.epoch() > 0 && elapsedMs < usableMs();
   }
 
-  /** Returns whether a load command may be sent at this moment. */
-  boolean maySendLoadCommands() {
+  /** Returns whether a call may be sent at this moment. */
+  public boolean mayCall() {
     return isHeld() && MonotonicClock.nowMs() - takenAtMs >= handoverDelayMs;
   }
 
@@ -128,7 +132,7 @@
    *
    * @return completes after a short delay in which the store is asked to record the release
    */
-  CompletionStage<Void> release() {
+  public CompletionStage<Void> release() {
     lease.release();
     CompletableFuture<Void> done = new CompletableFuture<>();
     tick();
@@ -156,14 +160,15 @@
       takenAtMs = MonotonicClock.nowMs();
       LOG.log(
           System.Logger.Level.INFO,
-          LogEvent.of(lastEpoch > 0 ? "order-lease-taken" : "order-lease-lost")
+          LogEvent.of(lastEpoch > 0 ? duty.takenEvent() : duty.lostEvent())
+              .with("duty", duty.id())
               .with("epoch", lastEpoch));
     }
   }
 
   private void read() {
     store
-        .scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.LEASE, 1)
+        .scan(ControlTables.CONTROL, duty.id(), ControlTables.LEASE, 1)
         .whenComplete(
             Failures.loggingExceptions(
                 (page, failure) -> {
@@ -214,7 +219,7 @@
     sentMonotonicMs = MonotonicClock.nowMs();
     sentWallClockMs = System.currentTimeMillis();
     PartitionWrite write =
-        PartitionWrite.in(ControlTables.ORDERS)
+        PartitionWrite.in(duty.id())
             .expect(ControlTables.CONTROL, ControlTables.LEASE, row.version())
             .put(
                 ControlTables.CONTROL,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
@@ -38,10 +38,12 @@
 import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.duty.Duty;
+import org.sycamoretrack.daemon.version.duty.DutyLease;
 
 /**
  * Commands endpoints to load the model versions that trainers announce, while this node holds the
- * {@link OrderLease}.
+ * {@link DutyLease}.
  *
  * <p>A load has four steps: write the plan to the store, so that no node places items on the
  * endpoint; read the endpoint's sequence number, which counts the load commands that it accepted;
@@ -70,7 +72,7 @@
   private final Supplier<DeploymentView> views;
   private final EventLoop loop;
   private final String nodeId;
-  private final OrderLease lease;
+  private final DutyLease lease;
   private final LoadPlanner planner;
   private final Map<String, Map<String, Integer>> servedVersions = new HashMap<>();
   private final Map<String, LoadInProgress> loadsInProgress = new HashMap<>();
@@ -106,7 +108,7 @@
     this.loop = loop;
     this.nodeId = self.nodeId();
     String holder = self.nodeId() + '@' + self.peerAddress();
-    this.lease = new OrderLease(store, loop, holder, self.incarnation());
+    this.lease = new DutyLease(Duty.ORDERS, store, loop, holder, self.incarnation());
     this.planner = new LoadPlanner(limit);
   }
 
@@ -157,7 +159,7 @@
     }
     List.copyOf(loadsInProgress.values()).forEach(inProgress -> inProgress.check(view));
     Map<String, List<String>> shares = assignShares(view);
-    if (lease.maySendLoadCommands()) {
+    if (lease.mayCall()) {
       for (Load load : planner.next(targets(view, shares), announced)) {
         Endpoint endpoint = view.fleet().find(load.endpointId());
         loadsInProgress.put(load.endpointId(), new LoadInProgress(endpoint, load));
@@ -391,7 +393,7 @@
       if (report.loading()) {
         return;
       }
-      if (!lease.maySendLoadCommands()) {
+      if (!lease.mayCall()) {
         end("the lease no longer permits load commands");
         return;
       }
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/weights/OrderLeaseTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/duty/DutyLeaseTest.java
@@ -1,4 +1,4 @@
-package org.sycamoretrack.daemon.version.weights;
+package org.sycamoretrack.daemon.version.duty;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -23,8 +23,8 @@
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.transport.connection.EventLoops;
 
-/** Tests of {@link OrderLease} over changes of the holder and of its process. */
-class OrderLeaseTest {
+/** Tests of {@link DutyLease} over changes of the holder and of its process. */
+class DutyLeaseTest {
   /** Commands of two holders within this time break the users' rule. */
   private static final long LEASE_MS = 3_000;
 
@@ -93,11 +93,11 @@
   /** A process that may hold the lease. */
   private final class LeaseProcess {
     private final EventLoopGroup group = EventLoops.start("lease", 1);
-    private final OrderLease lease;
+    private final DutyLease lease;
 
     private LeaseProcess(String host, String incarnation) {
       groups.add(group);
-      lease = new OrderLease(store, group.next(), host, incarnation);
+      lease = new DutyLease(Duty.ORDERS, store, group.next(), host, incarnation);
       group
           .next()
           .execute(
@@ -107,7 +107,7 @@
               });
     }
 
-    private boolean test(Predicate<OrderLease> property) {
+    private boolean test(Predicate<DutyLease> property) {
       try {
         return group.next().submit(() -> property.test(lease)).get();
       } catch (ExecutionException | InterruptedException e) {
@@ -115,7 +115,7 @@
       }
     }
 
-    private void await(Predicate<OrderLease> property) {
+    private void await(Predicate<DutyLease> property) {
       long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
       while (!test(property)) {
         assertThat(System.nanoTime()).as("time to wait").isLessThan(endNanos);
@@ -160,12 +160,12 @@
     long releasedNanos = System.nanoTime();
     store.set(row(5, "x-1", true), "x", 0);
     LeaseProcess first = new LeaseProcess("a", "a-1");
-    first.await(OrderLease::isHeld);
+    first.await(DutyLease::isHeld);
     sleep(killedAfterMs);
     first.kill();
 
     LeaseProcess second = new LeaseProcess("a", "a-2");
-    second.await(OrderLease::maySendLoadCommands);
+    second.await(DutyLease::mayCall);
 
     assertThat(elapsedMs(releasedNanos)).isGreaterThanOrEqualTo(LEASE_MS);
   }
@@ -175,7 +175,7 @@
     store.set(row(5, "a-1", false), "a", 0);
     long startNanos = System.nanoTime();
 
-    new LeaseProcess("a", "a-2").await(OrderLease::maySendLoadCommands);
+    new LeaseProcess("a", "a-2").await(DutyLease::mayCall);
 
     assertThat(elapsedMs(startNanos)).isLessThan(LEASE_MS / 2);
   }
@@ -188,7 +188,7 @@
   void formerHolderWaitsAfterATermOfAnotherHolder() {
     store.set(row(5, "a-1", false), "a", 0);
     LeaseProcess process = new LeaseProcess("a", "a-2");
-    process.await(OrderLease::maySendLoadCommands);
+    process.await(DutyLease::mayCall);
     store.setAway(true);
     process.await(lease -> !lease.isHeld());
     store.set(row(7, "x-1", true), "x", 0);
@@ -196,7 +196,7 @@
     store.setAway(false);
 
     process.await(lease -> lease.epoch() == 8);
-    process.await(OrderLease::maySendLoadCommands);
+    process.await(DutyLease::mayCall);
 
     assertThat(elapsedMs(releasedNanos)).isGreaterThanOrEqualTo(LEASE_MS);
   }
