Count the requests of customers and report them to the control service

Cause: the operator's control service is to get, for each window of 5 s of true time, the number of requests that endpoints began to execute for each customer, once and within 5 % of the true value.

Change: with the duty usage in the settings, a node counts plain requests when it sends them (UsageCounter, RequestUsage), and removes what an endpoint refuses. UsageWriter stores the counts by window and process, UsageReporter sums them on the holder of the duty, commits the sum before it is sent and sends it until it is accepted. The time is that of the store if its responses tell the time since the Unix epoch, otherwise the median of the host's clock over a minute (ReferenceClock). Metrics, state dump and log lines of duties exist only with the settings. A planned stop writes the last counts. PlainRequest has a customer, which is empty until callers are authenticated.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/client/EndpointClient.java
@@ -25,6 +25,7 @@
    * @param host the host that the caller addressed
    * @param headers its end-to-end headers
    * @param body its body, which must not be changed
+   * @param customer the customer who sent it, empty if there is none; not sent to the endpoint
    */
   @SuppressWarnings("ArrayRecordComponent")
   record PlainRequest(
@@ -33,11 +34,23 @@
       String target,
       String host,
       Map<String, String> headers,
-      byte[] body) {
+      byte[] body,
+      String customer) {
     /** Copies the headers. */
     public PlainRequest {
       headers = Map.copyOf(headers);
     }
+
+    /** Creates a request without a customer. */
+    public PlainRequest(
+        String requestId,
+        String method,
+        String target,
+        String host,
+        Map<String, String> headers,
+        byte[] body) {
+      this(requestId, method, target, host, headers, body, "");
+    }
   }
 
   /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
@@ -48,6 +49,18 @@
         .register(registry);
   }
 
+  /** Adds a gauge with a label, whose values are read at each scrape, from any thread. */
+  void gauge(String name, String help, String label, Map<String, DoubleSupplier> values) {
+    Map<String, DoubleSupplier> suppliers = Map.copyOf(values);
+    GaugeWithCallback.builder()
+        .name(prefixed(name))
+        .help(help)
+        .labelNames(label)
+        .callback(
+            callback -> suppliers.forEach((key, value) -> callback.call(value.getAsDouble(), key)))
+        .register(registry);
+  }
+
   private String prefixed(String name) {
     names.add(PREFIX + name);
     return PREFIX + name;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
@@ -129,6 +130,16 @@
     registry.gauge(name, help, value);
   }
 
+  /**
+   * Adds the metrics of duties at the control service, which other nodes don't have.
+   *
+   * @param held whether this node holds the lease of a duty, 1 or 0, by the id of the duty
+   * @param usageLagMs the age of the oldest window that was not reported, in milliseconds
+   */
+  public DutyMetrics addDuties(Map<String, DoubleSupplier> held, DoubleSupplier usageLagMs) {
+    return new DutyMetrics(registry, held, usageLagMs);
+  }
+
   /** Returns the names of all metrics, including those without any data. */
   public Set<String> names() {
     return registry.names();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlannedStop.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlannedStop.java
@@ -27,6 +27,9 @@
   /** Part of {@link #MARGIN_MS} in which the last responses reach their callers. */
   private static final long LAST_RESPONSES_MS = 300;
 
+  /** Part of {@link #MARGIN_MS} in which the last writes to the store end. */
+  private static final long LAST_WRITES_MS = 500;
+
   private static final long POLL_INTERVAL_MS = 50;
 
   private final ServerDrain drain;
@@ -71,6 +74,11 @@
     pauseUntil(endMs, condition);
   }
 
+  /** Waits until the last writes have ended, for a part of the time after {@link #endMs}. */
+  void awaitLastWrites(BooleanSupplier ended) {
+    pauseUntil(endMs + LAST_WRITES_MS, ended);
+  }
+
   /** Waits until a condition holds, but not beyond a time; returns whether it holds. */
   private static boolean pauseUntil(long untilMs, BooleanSupplier condition) {
     while (!condition.getAsBoolean()) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/PlatformAdapter.java
@@ -6,6 +6,7 @@
 import org.sycamoretrack.daemon.client.DutyClient;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.PartitionedStore;
+import org.sycamoretrack.daemon.client.StoreTimeListener;
 import org.sycamoretrack.transport.request.HttpHandler;
 import org.sycamoretrack.transport.request.StrayResponse;
 
@@ -18,8 +19,9 @@
    * Returns a client of the store.
    *
    * @param group the event loops on which its stages complete
+   * @param timeListener receives the time of the store
    */
-  PartitionedStore store(EventLoopGroup group);
+  PartitionedStore store(EventLoopGroup group, StoreTimeListener timeListener);
 
   /**
    * Returns a client of the endpoints.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -22,11 +22,13 @@
 import org.sycamoretrack.daemon.client.MeteredEndpointClient;
 import org.sycamoretrack.daemon.client.MeteredStore;
 import org.sycamoretrack.daemon.client.PartitionedStore;
+import org.sycamoretrack.daemon.client.StoreTimeListener;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
+import org.sycamoretrack.daemon.process.TrueTime;
 import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
 import org.sycamoretrack.daemon.request.batch.BatchService;
@@ -94,6 +96,8 @@
   private final NodeRegistry registry;
   private final OrphanedBatchDetector orphanDetector;
   private final LoadCommandService loadCommandService;
+  private final TrueTime time = new TrueTime();
+  private final Optional<ControlDuties> duties;
   private final BatchComponents components;
   private final PoisonGuard poison;
   private final SharedEndpointReports endpointReports;
@@ -114,7 +118,8 @@
 
   private StoreBackedNode(StoreBackedNodeSettings settings, PlatformAdapter adapter) {
     this.settings = settings;
-    PartitionedStore directStore = new MeteredStore(adapter.store(controlGroup), metrics);
+    PartitionedStore directStore =
+        new MeteredStore(adapter.store(controlGroup, timeListener()), metrics);
     this.link = startLink(settings);
     this.relayPeers = new RelayPeers(settings.zone(), MAX_RELAY_PEERS);
     this.relay = new StoreRelay(link, directStore, path, relayPeers, controlLoop);
@@ -146,6 +151,7 @@
             controlLoop,
             self,
             settings.loadLimit());
+    this.duties = createDuties(adapter, controlStore, self);
     this.batchCleaner =
         new ExpiredBatchCleaner(
             controlStore,
@@ -177,6 +183,7 @@
     node.watch.start();
     node.registry.start();
     node.loadCommandService.start();
+    node.duties.ifPresent(node::startDuties);
     node.scheduleRepeatedly("node", node::tick, TICK_MS);
     node.scheduleRepeatedly("sweep", node::sweep, SWEEP_INTERVAL_MS);
     LOG.log(
@@ -187,6 +194,11 @@
     return node;
   }
 
+  private void startDuties(ControlDuties started) {
+    trafficLoop.execute(() -> components.forwarder().countUsage(started.meter()));
+    started.start();
+  }
+
   private void scheduleRepeatedly(String name, Runnable task, long intervalMs) {
     controlLoop.scheduleAtFixedRate(
         Failures.periodicTask(name, task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
@@ -214,7 +226,10 @@
   private BatchComponents createComponents(PlatformAdapter adapter) {
     PartitionedStore trafficStore =
         new RelayedStore(
-            new MeteredStore(adapter.store(trafficGroup), metrics), relay, path, trafficLoop);
+            new MeteredStore(adapter.store(trafficGroup, timeListener()), metrics),
+            relay,
+            path,
+            trafficLoop);
     return BatchComponents.builder()
         .store(trafficStore)
         .endpoints(endpointClient(adapter, trafficGroup))
@@ -228,6 +243,33 @@
         .build();
   }
 
+  private StoreTimeListener timeListener() {
+    return settings.controlService().isPresent() ? time : StoreTimeListener.NONE;
+  }
+
+  private Optional<ControlDuties> createDuties(
+      PlatformAdapter adapter, PartitionedStore controlStore, NodeRecord self) {
+    return settings
+        .controlService()
+        .flatMap(
+            service ->
+                adapter
+                    .duties(controlGroup)
+                    .map(
+                        client ->
+                            new ControlDuties(
+                                service,
+                                client,
+                                controlStore,
+                                registry,
+                                self,
+                                time,
+                                controlLoop,
+                                trafficLoop,
+                                metrics,
+                                () -> loadCommandService.epoch() > 0)));
+  }
+
   private static HttpServer serve(
       EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
     return HttpServer.builder().group(group).address(address).handler(handler).start();
@@ -289,7 +331,9 @@
     trafficLoop.execute(() -> updateBatchOwners(view));
     boolean leaseCandidate =
         registry.nodeTable().takeoverRank(settings.nodeId(), "orders") < ORDER_LEASE_CANDIDATES;
-    loadCommandService.setCandidate(!stopping && registry.isRegistered() && leaseCandidate);
+    boolean available = !stopping && registry.isRegistered();
+    loadCommandService.setCandidate(available && leaseCandidate);
+    duties.ifPresent(held -> held.setCandidate(available, registry.nodeTable(), settings.nodeId()));
     if (!stopping && registry.isFresh()) {
       orphanDetector.check(view.owners(), registry.readSentAtMs());
     }
@@ -358,6 +402,7 @@
     json.putObject("orderLease")
         .put("held", loadCommandService.epoch() > 0)
         .put("epoch", loadCommandService.epoch());
+    duties.ifPresent(held -> held.describe(json));
     json.set("nodes", NodeStateJson.nodes(registry.liveNodes()));
     json.set("deployment", NodeStateJson.deployment(watch));
     return CompletableFuture.supplyAsync(() -> components.batches().dump(), trafficLoop)
@@ -459,8 +504,12 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
+    controlLoop.execute(() -> duties.ifPresent(ControlDuties::release));
     stop.endConnections(this::endRequests);
+    CompletionStage<Void> usageWritten =
+        duties.map(ControlDuties::flush).orElse(CompletableFuture.completedFuture(null));
     stop.await(handedOver::isDone);
+    stop.awaitLastWrites(usageWritten.toCompletableFuture()::isDone);
     registry.stop();
     watch.stop();
     callerServer.close();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.sycamoretrack.core.process.MonotonicClock;
+import org.sycamoretrack.core.request.usage.RequestUsage;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.core.version.routing.RouteKind;
@@ -50,6 +51,7 @@
   private long deadlineMs;
   private final String service;
   private final String fingerprint;
+  private final RequestUsage usage;
   private final Set<String> tried = new HashSet<>();
   private final Map<String, Endpoint> inFlight = new HashMap<>();
   private final Map<String, HttpCall> running = new HashMap<>();
@@ -73,6 +75,7 @@
     this.deadlineMs = Math.min(limitMs, forwarder.stopEndMs());
     this.service = route.selectService(ThreadLocalRandom.current().nextInt());
     this.fingerprint = EndpointCrashes.fingerprint(request);
+    this.usage = forwarder.usage().begin(request.customer());
   }
 
   void start() {
@@ -148,6 +151,7 @@
     inFlight.put(endpoint.id(), endpoint);
     forwarder.tracker().onSent(endpoint.id());
     forwarder.crashes().onSent(fingerprint, endpoint);
+    usage.onSent(endpoint.id(), forwarder.usage().timeMs());
     HttpCall call =
         forwarder
             .endpoints()
@@ -196,6 +200,7 @@
         }
       }
       case AttemptResult.NotRun notRun -> {
+        usage.onRefused(endpoint.id());
         forwarder.crashes().onEnded(fingerprint, endpoint);
         recordLoad(endpoint, notRun.load(), nowMs);
         forwarder.tracker().onRefused(endpoint.id(), nowMs + REFUSED_PAUSE_MS);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -20,6 +20,7 @@
 import org.sycamoretrack.daemon.client.EndpointClient.PlainRequest;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.request.PoisonGuard;
+import org.sycamoretrack.daemon.request.usage.UsageMeter;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 
 /**
@@ -38,6 +39,7 @@
   private final EndpointCrashes crashes;
   private final Map<String, ServiceTimes> times = new HashMap<>();
   private final Set<ForwardedCall> running = new HashSet<>();
+  private UsageMeter usage = UsageMeter.off();
   private long stopEndMs = Long.MAX_VALUE;
 
   /**
@@ -84,6 +86,19 @@
     return call;
   }
 
+  /**
+   * Counts the requests that are forwarded from now on.
+   *
+   * @param meter counts the requests
+   */
+  public void countUsage(UsageMeter meter) {
+    usage = meter;
+  }
+
+  UsageMeter usage() {
+    return usage;
+  }
+
   /**
    * Begins a planned stop. From now on, a request is sent only if {@link StopAdmission} expects its
    * response in time, and what is still running at the end times out.
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/duty/DutyLease.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/duty/DutyLease.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.version.duty;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,7 @@
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.process.SuspendAwareStopwatch;
 import org.sycamoretrack.core.request.ExecutionOutcome;
+import org.sycamoretrack.daemon.client.DutyGrant;
 import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.client.PartitionWrite;
 import org.sycamoretrack.daemon.client.PartitionedStore;
@@ -127,6 +129,15 @@
     return isHeld() && MonotonicClock.nowMs() - takenAtMs >= handoverDelayMs;
   }
 
+  /**
+   * Returns the permission for a call that is sent at this moment; empty if none may be sent.
+   *
+   * @param nodeId the id of this node
+   */
+  public Optional<DutyGrant> grant(String nodeId) {
+    return mayCall() ? Optional.of(new DutyGrant(nodeId, lease.epoch())) : Optional.empty();
+  }
+
   /**
    * Releases the lease.
    *
