--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import org.sycamoretrack.core.process.LongPollWait;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 
@@ -22,6 +23,7 @@
   private final long cancelMs;
   private final long drainMs;
   private final long resultsPromisedMs;
+  private final ControlServiceSettings controlService;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -36,9 +38,10 @@
     this.cancelMs = builder.cancelMs;
     this.drainMs = builder.drainMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
+    this.controlService = builder.controlService;
   }
 
-  /** Returns a builder; all values must be set. */
+  /** Returns a builder; all values must be set, except that of the control service. */
   public static Builder builder() {
     return new Builder();
   }
@@ -103,6 +106,11 @@
     return resultsPromisedMs;
   }
 
+  /** Returns the settings of the control service; empty where the deployment has none. */
+  public Optional<ControlServiceSettings> controlService() {
+    return Optional.ofNullable(controlService);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -117,7 +125,8 @@
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
         && drainMs == that.drainMs
-        && resultsPromisedMs == that.resultsPromisedMs;
+        && resultsPromisedMs == that.resultsPromisedMs
+        && Objects.equals(controlService, that.controlService);
   }
 
   @Override
@@ -139,6 +148,7 @@
     private long cancelMs;
     private long drainMs = LongPollWait.MIN_DRAIN_MS;
     private long resultsPromisedMs;
+    private ControlServiceSettings controlService;
 
     private Builder() {}
 
@@ -220,6 +230,12 @@
       return this;
     }
 
+    /** Sets the control service; null, the default, where the deployment has none. */
+    public Builder controlService(ControlServiceSettings value) {
+      this.controlService = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
