Plan the capacity of services with a pure decision class

Cause: reclaimed or crashed endpoints are not replaced, and batches that can't complete by their deadline get no more endpoints.

Change: core.version.capacity.CapacityPlanner decides on the number of endpoints by zone and kind from the listed endpoints, the outstanding work, the measured rate and a record of earlier orders. The record holds no wall-clock times, so a new holder does not compare clocks. Services of the manifest may have ScalingTerms; endpoints know whether they are spot endpoints and reclaimed.

--- /dev/null
+++ b/core/src/main/java/org/sycamoretrack/core/version/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on the number of endpoints of a service. */
+package org.sycamoretrack.core.version.capacity;
--- a/core/src/main/java/org/sycamoretrack/core/version/fleet/Endpoint.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/fleet/Endpoint.java
@@ -14,6 +14,8 @@
  * @param draining whether it is leaving and must get no new work
  * @param startedAtMs its start time, in milliseconds since the epoch; 0 if unknown
  * @param versions the last reported weight version of each model
+ * @param spot whether it is a spot endpoint, which may be reclaimed at short notice
+ * @param reclaimed whether it is leaving because it was reclaimed
  */
 public record Endpoint(
     String id,
@@ -23,15 +25,42 @@
     int slots,
     boolean draining,
     long startedAtMs,
-    Map<String, Integer> versions) {
+    Map<String, Integer> versions,
+    boolean spot,
+    boolean reclaimed) {
   /** Copies the versions. */
   public Endpoint {
     versions = Map.copyOf(versions);
   }
 
+  /**
+   * Creates an on-demand endpoint.
+   *
+   * @param id its identifier
+   * @param service the service that it belongs to
+   * @param address the address at which it accepts requests
+   * @param zone its availability zone
+   * @param slots the number of requests that it processes concurrently
+   * @param draining whether it is leaving
+   * @param startedAtMs its start time, in milliseconds since the epoch; 0 if unknown
+   * @param versions the last reported weight version of each model
+   */
+  public Endpoint(
+      String id,
+      String service,
+      InetSocketAddress address,
+      String zone,
+      int slots,
+      boolean draining,
+      long startedAtMs,
+      Map<String, Integer> versions) {
+    this(id, service, address, zone, slots, draining, startedAtMs, versions, false, false);
+  }
+
   /** Returns this endpoint as one that must get no new work. */
   public Endpoint asDraining() {
-    return new Endpoint(id, service, address, zone, slots, true, startedAtMs, versions);
+    return new Endpoint(
+        id, service, address, zone, slots, true, startedAtMs, versions, spot, reclaimed);
   }
 
   /**
