Order capacity and assign shares from the demand of open batches

Cause: nothing carried out the decisions on capacity and on shares of models, and no node knew the demand of the batches of other nodes.

Change: each node measures the demand of its batches (DemandMeter) and publishes it in the table demand when it has changed by a tenth. The holder of the duty capacity reads it, plans once a second and stores each decision before its orders are sent (CapacityService, ServiceCapacity). The platform's codec decodes scaling, spot and leaves_ms. With the setting shareByDemand, LoadCommandService assigns shares by DemandShares. Without the setting and the duty, no row of demand is written or read.

Result: CapacityServiceTest (a holder killed between an order and its record, lost, refused and rejected orders, outdated endpoints, the store away, two candidates), DemandMeterTest, PlatformCodecTest, PlatformSettingsTest, DutyLeaseTest and CapacityPlannerTest pass.

--- a/core/src/main/java/org/sycamoretrack/core/version/capacity/CapacityInput.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/capacity/CapacityInput.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.ScalingTerms;
 
 /**
@@ -38,6 +39,25 @@
   public record PoolCount(int live, int draining, int reclaimed) {
     /** A pool without endpoints. */
     public static final PoolCount NONE = new PoolCount(0, 0, 0);
+
+    /**
+     * Returns the count of one endpoint. A draining spot endpoint counts as reclaimed, since it may
+     * say that it is leaving before its entry says why.
+     *
+     * @param endpoint the endpoint
+     */
+    public static PoolCount of(Endpoint endpoint) {
+      if (!endpoint.draining()) {
+        return new PoolCount(1, 0, 0);
+      }
+      return new PoolCount(0, 1, endpoint.reclaimed() || endpoint.spot() ? 1 : 0);
+    }
+
+    /** Returns the sum of this count and another one. */
+    public PoolCount plus(PoolCount other) {
+      return new PoolCount(
+          live + other.live, draining + other.draining, reclaimed + other.reclaimed);
+    }
   }
 
   /**
--- a/core/src/test/java/org/sycamoretrack/core/version/capacity/SimulatedCloud.java
+++ b/core/src/test/java/org/sycamoretrack/core/version/capacity/SimulatedCloud.java
@@ -160,11 +160,7 @@
             server.pool,
             new PoolCount(
                 server.draining ? 0 : 1, server.draining ? 1 : 0, server.reclaimed ? 1 : 0),
-            (a, b) ->
-                new PoolCount(
-                    a.live() + b.live(),
-                    a.draining() + b.draining(),
-                    a.reclaimed() + b.reclaimed()));
+            PoolCount::plus);
       }
     }
     return counts;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -9,10 +9,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** Registers the metrics of a process with a common prefix and exports them. Thread-safe. */
 final class MetricsRegistry {
@@ -48,6 +51,27 @@
         .register(registry);
   }
 
+  /**
+   * Adds a gauge with labels whose values are read at each scrape, from any thread.
+   *
+   * @param values returns the current value for each list of label values
+   */
+  void gauge(
+      String name, String help, Supplier<Map<List<String>, Double>> values, String... labels) {
+    GaugeWithCallback.builder()
+        .name(prefixed(name))
+        .help(help)
+        .labelNames(labels)
+        .callback(
+            callback ->
+                values
+                    .get()
+                    .forEach(
+                        (labelValues, value) ->
+                            callback.call(value, labelValues.toArray(String[]::new))))
+        .register(registry);
+  }
+
   private String prefixed(String name) {
     names.add(PREFIX + name);
     return PREFIX + name;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -2,9 +2,12 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * The metrics of a node that keeps its state in the platform's store. Names start with {@code
@@ -106,6 +109,8 @@
           "stray_responses_total",
           "Responses of endpoints that aren't the response to the current request",
           "kind");
+  private final Counter capacityOrders =
+      registry.counter("capacity_orders_total", "Orders of endpoints by outcome", "outcome");
   private final AtomicInteger openBatches = new AtomicInteger();
 
   /** Creates metrics with all counters at zero. */
@@ -129,6 +134,31 @@
     registry.gauge(name, help, value);
   }
 
+  /**
+   * Adds the gauge of ordered endpoints.
+   *
+   * @param values returns the number for each list of service, zone and kind; called from any
+   *     thread
+   */
+  public void capacityTargets(Supplier<Map<List<String>, Double>> values) {
+    registry.gauge(
+        "capacity_target",
+        "Endpoints that a service should have, at the node that orders them",
+        values,
+        "service",
+        "zone",
+        "kind");
+  }
+
+  /**
+   * Records the outcome of an order of endpoints.
+   *
+   * @param outcome the outcome, one of a fixed set of strings
+   */
+  public void onCapacityOrder(String outcome) {
+    capacityOrders.labelValues(outcome).inc();
+  }
+
   /** Returns the names of all metrics, including those without any data. */
   public Set<String> names() {
     return registry.names();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -34,6 +34,7 @@
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 import org.sycamoretrack.daemon.version.deployment.DeploymentWatch;
+import org.sycamoretrack.daemon.version.duty.Duty;
 import org.sycamoretrack.daemon.version.weights.LoadCommandService;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpServer;
@@ -64,8 +65,10 @@
   /** A sweep makes one store call per retained batch, and batches are retained for some minutes. */
   private static final long SWEEP_INTERVAL_MS = 120_000;
 
-  /** Number of nodes that compete for the order lease, enough to survive the loss of one zone. */
-  private static final int ORDER_LEASE_CANDIDATES = 3;
+  /**
+   * Number of nodes that compete for the lease of a duty, enough to survive the loss of one zone.
+   */
+  private static final int LEASE_CANDIDATES = 3;
 
   /** One in each zone of a deployment of three zones. */
   private static final int MAX_RELAY_PEERS = 3;
@@ -94,6 +97,7 @@
   private final NodeRegistry registry;
   private final OrphanedBatchDetector orphanDetector;
   private final LoadCommandService loadCommandService;
+  private final CapacityComponents capacity;
   private final BatchComponents components;
   private final PoisonGuard poison;
   private final SharedEndpointReports endpointReports;
@@ -138,6 +142,7 @@
             incarnation,
             registry.nodeTable(),
             owner -> trafficLoop.execute(() -> components.batches().takeOver(owner)));
+    this.capacity = createCapacity(adapter, controlStore, self);
     this.loadCommandService =
         new LoadCommandService(
             controlStore,
@@ -145,7 +150,8 @@
             watch::view,
             controlLoop,
             self,
-            settings.loadLimit());
+            settings.loadLimit(),
+            capacity.shareAssigner());
     this.batchCleaner =
         new ExpiredBatchCleaner(
             controlStore,
@@ -177,6 +183,7 @@
     node.watch.start();
     node.registry.start();
     node.loadCommandService.start();
+    node.capacity.start();
     node.scheduleRepeatedly("node", node::tick, TICK_MS);
     node.scheduleRepeatedly("sweep", node::sweep, SWEEP_INTERVAL_MS);
     LOG.log(
@@ -228,6 +235,21 @@
         .build();
   }
 
+  private CapacityComponents createCapacity(
+      PlatformAdapter adapter, PartitionedStore controlStore, NodeRecord self) {
+    return new CapacityComponents(
+        settings,
+        self,
+        controlStore,
+        adapter.duties(controlGroup),
+        watch,
+        registry,
+        controlLoop,
+        () ->
+            CompletableFuture.supplyAsync(() -> components.batches().measureDemand(), trafficLoop),
+        metrics);
+  }
+
   private static HttpServer serve(
       EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
     return HttpServer.builder().group(group).address(address).handler(handler).start();
@@ -287,14 +309,19 @@
     }
     DeploymentView view = watch.view();
     trafficLoop.execute(() -> updateBatchOwners(view));
-    boolean leaseCandidate =
-        registry.nodeTable().takeoverRank(settings.nodeId(), "orders") < ORDER_LEASE_CANDIDATES;
-    loadCommandService.setCandidate(!stopping && registry.isRegistered() && leaseCandidate);
+    loadCommandService.setCandidate(isCandidate(Duty.ORDERS));
+    capacity.setCandidate(isCandidate(Duty.CAPACITY));
     if (!stopping && registry.isFresh()) {
       orphanDetector.check(view.owners(), registry.readSentAtMs());
     }
   }
 
+  private boolean isCandidate(Duty duty) {
+    return !stopping
+        && registry.isRegistered()
+        && registry.nodeTable().takeoverRank(settings.nodeId(), duty.id()) < LEASE_CANDIDATES;
+  }
+
   /** Returns the address for callers, with the port that was bound. */
   public InetSocketAddress callerAddress() {
     return callerServer.address();
@@ -358,6 +385,7 @@
     json.putObject("orderLease")
         .put("held", loadCommandService.epoch() > 0)
         .put("epoch", loadCommandService.epoch());
+    capacity.dump().ifPresent(dump -> json.set("capacity", dump));
     json.set("nodes", NodeStateJson.nodes(registry.liveNodes()));
     json.set("deployment", NodeStateJson.deployment(watch));
     return CompletableFuture.supplyAsync(() -> components.batches().dump(), trafficLoop)
@@ -459,6 +487,7 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
+    controlLoop.execute(capacity::release);
     stop.endConnections(this::endRequests);
     stop.await(handedOver::isDone);
     registry.stop();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -22,6 +22,7 @@
   private final long cancelMs;
   private final long resultsPromisedMs;
   private final ControlServiceSettings controlService;
+  private final boolean shareByDemand;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -36,9 +37,10 @@
     this.cancelMs = builder.cancelMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
     this.controlService = builder.controlService;
+    this.shareByDemand = builder.shareByDemand;
   }
 
-  /** Returns a builder; all values must be set, except that of the control service. */
+  /** Returns a builder; all values but the last two must be set. */
   public static Builder builder() {
     return new Builder();
   }
@@ -103,6 +105,11 @@
     return Optional.ofNullable(controlService);
   }
 
+  /** Returns whether the shares of models follow their demand instead of having the same size. */
+  public boolean shareByDemand() {
+    return shareByDemand;
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -117,7 +124,8 @@
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
         && resultsPromisedMs == that.resultsPromisedMs
-        && Objects.equals(controlService, that.controlService);
+        && Objects.equals(controlService, that.controlService)
+        && shareByDemand == that.shareByDemand;
   }
 
   @Override
@@ -139,6 +147,7 @@
     private long cancelMs;
     private long resultsPromisedMs;
     private ControlServiceSettings controlService;
+    private boolean shareByDemand;
 
     private Builder() {}
 
@@ -217,6 +226,12 @@
       return this;
     }
 
+    /** Sets whether the shares of models follow their demand; false by default. */
+    public Builder shareByDemand(boolean value) {
+      this.shareByDemand = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -37,7 +37,7 @@
   private static final long TICK_INTERVAL_MS = 50;
 
   /** The typical number of tokens per event, used for estimates only. */
-  private static final int TOKENS_PER_EVENT = 50;
+  static final int TOKENS_PER_EVENT = 50;
 
   private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -15,8 +15,10 @@
 import org.sycamoretrack.core.process.SycamoreException;
 import org.sycamoretrack.core.request.ExecutionOutcome;
 import org.sycamoretrack.core.request.batch.BatchSubmission;
+import org.sycamoretrack.core.request.batch.DemandMeter;
 import org.sycamoretrack.core.request.batch.ItemResult;
 import org.sycamoretrack.core.request.batch.OpenBatch;
+import org.sycamoretrack.core.version.capacity.ServiceDemand;
 import org.sycamoretrack.core.version.routing.RouteKind;
 import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.client.PartitionWrite;
@@ -68,6 +70,7 @@
   private final Map<String, BatchRunner> runners = new HashMap<>();
   private final Map<String, Boolean> takingOver = new HashMap<>();
   private final BatchReader reader;
+  private final DemandMeter demandMeter = new DemandMeter(BatchScheduler.TOKENS_PER_EVENT);
   private boolean stopping;
 
   /**
@@ -345,6 +348,19 @@
     reader.onListed(runner.owner().batchId());
   }
 
+  /**
+   * Measures the demand of the batches that this node runs. Call about once a second on the traffic
+   * loop.
+   *
+   * @return the demand by service
+   */
+  public Map<String, ServiceDemand> measureDemand() {
+    return demandMeter.measure(
+        runners.values().stream().map(BatchRunner::batch).toList(),
+        MonotonicClock.nowMs(),
+        System.currentTimeMillis());
+  }
+
   /** Returns the batches that this node runs, for the state dump. Call on the traffic loop. */
   public ArrayNode dump() {
     ArrayNode json = Json.mapper().createArrayNode();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/ControlTables.java
@@ -24,6 +24,8 @@
  *   <tr><td>control</td><td>capacity</td><td>lease</td><td>who may order capacity</td></tr>
  *   <tr><td>control</td><td>orders</td><td>weights</td><td>the {@link WeightPlan}</td></tr>
  *   <tr><td>control</td><td>reports</td><td>a node</td><td>its {@link EndpointReports}</td></tr>
+ *   <tr><td>control</td><td>capacity</td><td>a service</td><td>its ordered targets</td></tr>
+ *   <tr><td>demand</td><td>(empty)</td><td>a node</td><td>the work of its open batches</td></tr>
  *   <tr><td>nodes</td><td>(empty)</td><td>a node</td><td>its heartbeat</td></tr>
  * </table>
  *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -172,6 +172,14 @@
     return ageMs(control.confirmedAtMs());
   }
 
+  /**
+   * Returns the time in milliseconds since the endpoints were last known to be up to date; {@link
+   * Long#MAX_VALUE} before the first response.
+   */
+  public long endpointsAgeMs() {
+    return ageMs(endpoints.confirmedAtMs());
+  }
+
   private static long ageMs(long confirmedAtMs) {
     return confirmedAtMs == Long.MIN_VALUE
         ? Long.MAX_VALUE
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/weights/LoadCommandService.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -17,24 +16,18 @@
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.routing.Route;
 import org.sycamoretrack.core.version.routing.RouteKind;
-import org.sycamoretrack.core.version.routing.RoutedService;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 import org.sycamoretrack.core.version.weights.LoadPlanner;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Load;
 import org.sycamoretrack.core.version.weights.LoadPlanner.NewestVersion;
 import org.sycamoretrack.core.version.weights.LoadPlanner.Target;
-import org.sycamoretrack.core.version.weights.ModelAssignment;
 import org.sycamoretrack.daemon.client.EndpointClient;
 import org.sycamoretrack.daemon.client.EndpointClient.LoadCommand;
 import org.sycamoretrack.daemon.client.EndpointClient.LoadCommandResponse;
 import org.sycamoretrack.daemon.client.EndpointClient.WeightReport;
 import org.sycamoretrack.daemon.client.Failures;
-import org.sycamoretrack.daemon.client.PartitionWrite;
 import org.sycamoretrack.daemon.client.PartitionedStore;
-import org.sycamoretrack.daemon.client.PartitionedStore.Row;
-import org.sycamoretrack.daemon.client.PartitionedStore.WriteResult;
 import org.sycamoretrack.daemon.process.LogEvent;
-import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
@@ -67,20 +60,17 @@
   /** Exceeds the sum of the timeouts of the store and of a peer that forwards the call. */
   private static final long CALL_TIMEOUT_MS = 3_000;
 
-  private final PartitionedStore store;
   private final EndpointClient endpoints;
   private final Supplier<DeploymentView> views;
   private final EventLoop loop;
   private final String nodeId;
   private final DutyLease lease;
   private final LoadPlanner planner;
+  private final ShareAssigner shareAssigner;
+  private final StoredWeightPlan storedPlan;
   private final Map<String, Map<String, Integer>> servedVersions = new HashMap<>();
   private final Map<String, LoadInProgress> loadsInProgress = new HashMap<>();
   private final Map<String, FirstSeenVersion> firstSeenVersions = new HashMap<>();
-  private WeightPlan writtenPlan = WeightPlan.EMPTY;
-  private long planRowVersion = PartitionWrite.ABSENT;
-  private boolean planLoaded;
-  private boolean planCallPending;
   private long plannedEpoch;
 
   private static final System.Logger LOG = System.getLogger(LoadCommandService.class.getName());
@@ -94,6 +84,7 @@
    * @param loop the control loop
    * @param self this node
    * @param limit the limit on concurrent loads
+   * @param shareAssigner assigns endpoints to models
    */
   public LoadCommandService(
       PartitionedStore store,
@@ -101,8 +92,8 @@
       Supplier<DeploymentView> views,
       EventLoop loop,
       NodeRecord self,
-      ConcurrentLoadLimit limit) {
-    this.store = store;
+      ConcurrentLoadLimit limit,
+      ShareAssigner shareAssigner) {
     this.endpoints = endpoints;
     this.views = views;
     this.loop = loop;
@@ -110,6 +101,8 @@
     String holder = self.nodeId() + '@' + self.peerAddress();
     this.lease = new DutyLease(Duty.ORDERS, store, loop, holder, self.incarnation());
     this.planner = new LoadPlanner(limit);
+    this.shareAssigner = shareAssigner;
+    this.storedPlan = new StoredWeightPlan(store, loop, CALL_TIMEOUT_MS);
   }
 
   /** Starts to acquire the lease and to plan loads at an interval. */
@@ -146,26 +139,26 @@
     }
     if (plannedEpoch != lease.epoch()) {
       plannedEpoch = lease.epoch();
-      planLoaded = false;
+      storedPlan.unload();
       loadsInProgress.clear();
       servedVersions.clear();
     }
     if (view.manifest().isEmpty()) {
       return;
     }
-    if (!planLoaded) {
-      readPlan();
+    if (!storedPlan.isLoaded()) {
+      storedPlan.read(lease.epoch(), this::adoptServedVersions);
       return;
     }
     List.copyOf(loadsInProgress.values()).forEach(inProgress -> inProgress.check(view));
-    Map<String, List<String>> shares = assignShares(view);
+    Map<String, List<String>> shares = shareAssigner.assign(view, storedPlan.plan().shares());
     if (lease.mayCall()) {
       for (Load load : planner.next(targets(view, shares), announced)) {
         Endpoint endpoint = view.fleet().find(load.endpointId());
         loadsInProgress.put(load.endpointId(), new LoadInProgress(endpoint, load));
       }
     }
-    writePlan(toPlan(shares));
+    storedPlan.write(toPlan(shares), lease.epoch(), this::startWrittenLoads);
   }
 
   /**
@@ -187,54 +180,11 @@
     return announced;
   }
 
-  private void readPlan() {
-    if (planCallPending) {
-      return;
-    }
-    planCallPending = true;
-    Failures.withTimeout(
-            store.scan(ControlTables.CONTROL, ControlTables.ORDERS, ControlTables.WEIGHTS, 1),
-            loop,
-            CALL_TIMEOUT_MS)
-        .whenComplete(
-            Failures.loggingExceptions(
-                (page, failure) -> {
-                  planCallPending = false;
-                  if (failure != null) {
-                    LOG.log(
-                        System.Logger.Level.WARNING,
-                        LogEvent.of("weight-plan-not-read")
-                            .with("epoch", lease.epoch())
-                            .with("reason", Failures.unwrap(failure).getMessage()));
-                    return;
-                  }
-                  writtenPlan = WeightPlan.EMPTY;
-                  planRowVersion = PartitionWrite.ABSENT;
-                  for (Row row : page.rows()) {
-                    if (row.key().equals(ControlTables.WEIGHTS)) {
-                      writtenPlan = ControlTables.decodePlan(row);
-                      planRowVersion = row.version();
-                    }
-                  }
-                  writtenPlan
-                      .endpoints()
-                      .forEach(
-                          (id, weights) ->
-                              servedVersions.put(id, new HashMap<>(weights.versions())));
-                  planLoaded = true;
-                }));
-  }
-
-  private Map<String, List<String>> assignShares(DeploymentView view) {
-    Map<String, List<String>> shares = new HashMap<>();
-    for (RoutedService service : view.manifest().orElseThrow().services().values()) {
-      if (!service.models().isEmpty()) {
-        List<String> ids =
-            view.fleet().inService(service.name()).stream().map(Endpoint::id).toList();
-        shares.putAll(ModelAssignment.assign(service.models(), ids, writtenPlan.shares()));
-      }
-    }
-    return shares;
+  private void adoptServedVersions() {
+    storedPlan
+        .plan()
+        .endpoints()
+        .forEach((id, weights) -> servedVersions.put(id, new HashMap<>(weights.versions())));
   }
 
   private int knownVersion(Endpoint endpoint, String model) {
@@ -270,47 +220,10 @@
     return new WeightPlan(shares, endpoints);
   }
 
-  private void writePlan(WeightPlan plan) {
-    if (planCallPending || plan.equals(writtenPlan)) {
-      startWrittenLoads();
-      return;
-    }
-    planCallPending = true;
-    PartitionWrite write =
-        PartitionWrite.in(ControlTables.ORDERS)
-            .expect(ControlTables.CONTROL, ControlTables.WEIGHTS, planRowVersion)
-            .put(ControlTables.CONTROL, ControlTables.WEIGHTS, ControlTables.encode(plan))
-            .build();
-    Failures.withTimeout(store.commit(write), loop, CALL_TIMEOUT_MS)
-        .whenComplete(
-            Failures.loggingExceptions(
-                (result, failure) -> {
-                  planCallPending = false;
-                  if (failure == null && result instanceof WriteResult.Committed committed) {
-                    logShares(plan);
-                    writtenPlan = plan;
-                    planRowVersion = committed.version();
-                    startWrittenLoads();
-                  } else {
-                    planLoaded = false;
-                  }
-                }));
-  }
-
-  private void logShares(WeightPlan plan) {
-    if (!plan.shares().equals(writtenPlan.shares())) {
-      Map<String, Integer> sizes = new TreeMap<>();
-      plan.shares().forEach((model, ids) -> sizes.put(model, ids.size()));
-      LOG.log(
-          System.Logger.Level.INFO,
-          LogEvent.of("endpoint-shares").with("sizes", sizes).with("epoch", lease.epoch()));
-    }
-  }
-
   /** Starts the loads that the stored plan shows to the other nodes. */
   private void startWrittenLoads() {
     for (LoadInProgress inProgress : List.copyOf(loadsInProgress.values())) {
-      EndpointWeights writtenWeights = writtenPlan.endpoints().get(inProgress.endpoint.id());
+      EndpointWeights writtenWeights = storedPlan.plan().endpoints().get(inProgress.endpoint.id());
       if (writtenWeights != null && writtenWeights.loading().contains(inProgress.load.model())) {
         inProgress.start();
       }
