Merge the duties and usage reports of the control service

Both sides registered metrics with labels and created the client and the leases of duties. The lease of capacity is now one of ControlDuties, and CapacityService gets it and the metered client. The metrics of capacity exist only where the settings list the duty (CapacityMetrics).

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -51,17 +52,34 @@
         .register(registry);
   }
 
+  /** Adds a gauge with a label, whose values are read at each scrape, from any thread. */
+  void gauge(String name, String help, String label, Map<String, DoubleSupplier> values) {
+    Map<String, DoubleSupplier> suppliers = Map.copyOf(values);
+    gauge(
+        name,
+        help,
+        List.of(label),
+        () -> {
+          Map<List<String>, Double> current = new HashMap<>();
+          suppliers.forEach((key, value) -> current.put(List.of(key), value.getAsDouble()));
+          return current;
+        });
+  }
+
   /**
    * Adds a gauge with labels whose values are read at each scrape, from any thread.
    *
+   * @param name the name without prefix, ending with its unit
+   * @param help the help text, one line
+   * @param labels the names of the labels
    * @param values returns the current value for each list of label values
    */
   void gauge(
-      String name, String help, Supplier<Map<List<String>, Double>> values, String... labels) {
+      String name, String help, List<String> labels, Supplier<Map<List<String>, Double>> values) {
     GaugeWithCallback.builder()
         .name(prefixed(name))
         .help(help)
-        .labelNames(labels)
+        .labelNames(labels.toArray(String[]::new))
         .callback(
             callback ->
                 values
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -109,8 +109,6 @@
           "stray_responses_total",
           "Responses of endpoints that aren't the response to the current request",
           "kind");
-  private final Counter capacityOrders =
-      registry.counter("capacity_orders_total", "Orders of endpoints by outcome", "outcome");
   private final AtomicInteger openBatches = new AtomicInteger();
 
   /** Creates metrics with all counters at zero. */
@@ -135,28 +133,23 @@
   }
 
   /**
-   * Adds the gauge of ordered endpoints.
+   * Adds the metrics of capacity, which nodes of other deployments don't have.
    *
-   * @param values returns the number for each list of service, zone and kind; called from any
-   *     thread
+   * @param targets returns the ordered number of endpoints for each list of service, zone and kind;
+   *     called from any thread
    */
-  public void capacityTargets(Supplier<Map<List<String>, Double>> values) {
-    registry.gauge(
-        "capacity_target",
-        "Endpoints that a service should have, at the node that orders them",
-        values,
-        "service",
-        "zone",
-        "kind");
+  public CapacityMetrics addCapacity(Supplier<Map<List<String>, Double>> targets) {
+    return new CapacityMetrics(registry, targets);
   }
 
   /**
-   * Records the outcome of an order of endpoints.
+   * Adds the metrics of duties at the control service, which other nodes don't have.
    *
-   * @param outcome the outcome, one of a fixed set of strings
+   * @param held whether this node holds the lease of a duty, 1 or 0, by the id of the duty
+   * @param usageLagMs the age of the oldest window that was not reported, in milliseconds
    */
-  public void onCapacityOrder(String outcome) {
-    capacityOrders.labelValues(outcome).inc();
+  public DutyMetrics addDuties(Map<String, DoubleSupplier> held, DoubleSupplier usageLagMs) {
+    return new DutyMetrics(registry, held, usageLagMs);
   }
 
   /** Returns the names of all metrics, including those without any data. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/CapacityComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/CapacityComponents.java
@@ -11,8 +11,8 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.capacity.ServiceDemand;
-import org.sycamoretrack.daemon.client.DutyClient;
 import org.sycamoretrack.daemon.client.PartitionedStore;
+import org.sycamoretrack.daemon.process.CapacityMetrics;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.version.capacity.CapacityService;
 import org.sycamoretrack.daemon.version.capacity.DemandPublisher;
@@ -20,6 +20,7 @@
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 import org.sycamoretrack.daemon.version.deployment.DeploymentWatch;
 import org.sycamoretrack.daemon.version.duty.Duty;
+import org.sycamoretrack.daemon.version.duty.DutyLease;
 import org.sycamoretrack.daemon.version.weights.ShareAssigner;
 
 /**
@@ -39,7 +40,7 @@
    * @param settings the settings of the node
    * @param self this node
    * @param store the store, which completes calls on the loop
-   * @param control the client of the control service; empty where the deployment has none
+   * @param duties the leases of duties; empty where the deployment has no control service
    * @param watch the view of the deployment
    * @param registry the live nodes
    * @param loop the control loop
@@ -50,41 +51,39 @@
       StoreBackedNodeSettings settings,
       NodeRecord self,
       PartitionedStore store,
-      Optional<DutyClient> control,
+      Optional<ControlDuties> duties,
       DeploymentWatch watch,
       NodeRegistry registry,
       EventLoop loop,
       Supplier<CompletionStage<Map<String, ServiceDemand>>> meter,
       StoreBackedNodeMetrics metrics) {
-    boolean isDuty =
-        settings
-            .controlService()
-            .map(service -> service.duties().contains(Duty.CAPACITY))
-            .orElse(false);
+    Optional<DutyLease> lease = duties.flatMap(present -> present.lease(Duty.CAPACITY));
     DemandTable demand = new DemandTable(store, loop, registry.nodeTable()::isServing);
     this.publisher =
-        isDuty || settings.shareByDemand()
+        lease.isPresent() || settings.shareByDemand()
             ? Optional.of(
                 new DemandPublisher(
                     store, loop, self.nodeId(), self.incarnation(), meter, () -> ownerCount(watch)))
             : Optional.empty();
     this.service =
-        control
-            .filter(unused -> isDuty)
-            .map(
-                client ->
-                    new CapacityService(
-                        store,
-                        client,
-                        watch::view,
-                        watch::endpointsAgeMs,
-                        demand,
-                        loop,
-                        self,
-                        outcome -> metrics.onCapacityOrder(outcome.label())));
+        lease.map(
+            held ->
+                new CapacityService(
+                    store,
+                    duties.orElseThrow().client(),
+                    held,
+                    watch::view,
+                    watch::endpointsAgeMs,
+                    demand,
+                    loop,
+                    self.nodeId()));
     this.shareAssigner =
         new ShareAssigner(settings.shareByDemand() ? Optional.of(demand) : Optional.empty());
-    metrics.capacityTargets(() -> service.map(CapacityComponents::targets).orElse(Map.of()));
+    service.ifPresent(
+        present -> {
+          CapacityMetrics counts = metrics.addCapacity(() -> targets(present));
+          present.onOutcome(outcome -> counts.onOrder(outcome.label()));
+        });
   }
 
   private static int ownerCount(DeploymentWatch watch) {
@@ -119,15 +118,9 @@
     service.ifPresent(CapacityService::start);
   }
 
-  /** Sets whether this node tries to acquire the lease of the duty. */
-  void setCandidate(boolean candidate) {
-    service.ifPresent(present -> present.setCandidate(candidate));
-  }
-
-  /** Stops publishing and releases the lease. Called on the control loop. */
-  void release() {
+  /** Stops publishing. Called on the control loop. */
+  void stop() {
     publisher.ifPresent(DemandPublisher::stop);
-    service.ifPresent(CapacityService::release);
   }
 
   /** Returns the ordered targets for the state dump; empty where capacity isn't ordered. */
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -22,11 +22,13 @@
 import org.sycamoretrack.daemon.client.MeteredEndpointClient;
 import org.sycamoretrack.daemon.client.MeteredStore;
 import org.sycamoretrack.daemon.client.PartitionedStore;
+import org.sycamoretrack.daemon.client.StoreTimeListener;
 import org.sycamoretrack.daemon.connection.PeerIdentity;
 import org.sycamoretrack.daemon.connection.PeerLink;
 import org.sycamoretrack.daemon.process.Addresses;
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
+import org.sycamoretrack.daemon.process.TrueTime;
 import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.batch.BatchComponents;
 import org.sycamoretrack.daemon.request.batch.BatchService;
@@ -34,7 +36,6 @@
 import org.sycamoretrack.daemon.request.forward.Forwarder;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
 import org.sycamoretrack.daemon.version.deployment.DeploymentWatch;
-import org.sycamoretrack.daemon.version.duty.Duty;
 import org.sycamoretrack.daemon.version.weights.LoadCommandService;
 import org.sycamoretrack.transport.connection.EventLoops;
 import org.sycamoretrack.transport.connection.HttpServer;
@@ -65,10 +66,8 @@
   /** A sweep makes one store call per retained batch, and batches are retained for some minutes. */
   private static final long SWEEP_INTERVAL_MS = 120_000;
 
-  /**
-   * Number of nodes that compete for the lease of a duty, enough to survive the loss of one zone.
-   */
-  private static final int LEASE_CANDIDATES = 3;
+  /** Number of nodes that compete for the order lease, enough to survive the loss of one zone. */
+  private static final int ORDER_LEASE_CANDIDATES = 3;
 
   /** One in each zone of a deployment of three zones. */
   private static final int MAX_RELAY_PEERS = 3;
@@ -98,6 +97,8 @@
   private final OrphanedBatchDetector orphanDetector;
   private final LoadCommandService loadCommandService;
   private final CapacityComponents capacity;
+  private final TrueTime time = new TrueTime();
+  private final Optional<ControlDuties> duties;
   private final BatchComponents components;
   private final PoisonGuard poison;
   private final SharedEndpointReports endpointReports;
@@ -118,7 +119,8 @@
 
   private StoreBackedNode(StoreBackedNodeSettings settings, PlatformAdapter adapter) {
     this.settings = settings;
-    PartitionedStore directStore = new MeteredStore(adapter.store(controlGroup), metrics);
+    PartitionedStore directStore =
+        new MeteredStore(adapter.store(controlGroup, timeListener()), metrics);
     this.link = startLink(settings);
     this.relayPeers = new RelayPeers(settings.zone(), MAX_RELAY_PEERS);
     this.relay = new StoreRelay(link, directStore, path, relayPeers, controlLoop);
@@ -142,7 +144,8 @@
             incarnation,
             registry.nodeTable(),
             owner -> trafficLoop.execute(() -> components.batches().takeOver(owner)));
-    this.capacity = createCapacity(adapter, controlStore, self);
+    this.duties = createDuties(adapter, controlStore, self);
+    this.capacity = createCapacity(controlStore, self);
     this.loadCommandService =
         new LoadCommandService(
             controlStore,
@@ -184,6 +187,7 @@
     node.registry.start();
     node.loadCommandService.start();
     node.capacity.start();
+    node.duties.ifPresent(node::startDuties);
     node.scheduleRepeatedly("node", node::tick, TICK_MS);
     node.scheduleRepeatedly("sweep", node::sweep, SWEEP_INTERVAL_MS);
     LOG.log(
@@ -194,6 +198,11 @@
     return node;
   }
 
+  private void startDuties(ControlDuties started) {
+    trafficLoop.execute(() -> components.forwarder().countUsage(started.meter()));
+    started.start();
+  }
+
   private void scheduleRepeatedly(String name, Runnable task, long intervalMs) {
     controlLoop.scheduleAtFixedRate(
         Failures.periodicTask(name, task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
@@ -221,7 +230,10 @@
   private BatchComponents createComponents(PlatformAdapter adapter) {
     PartitionedStore trafficStore =
         new RelayedStore(
-            new MeteredStore(adapter.store(trafficGroup), metrics), relay, path, trafficLoop);
+            new MeteredStore(adapter.store(trafficGroup, timeListener()), metrics),
+            relay,
+            path,
+            trafficLoop);
     return BatchComponents.builder()
         .store(trafficStore)
         .endpoints(endpointClient(adapter, trafficGroup))
@@ -235,13 +247,12 @@
         .build();
   }
 
-  private CapacityComponents createCapacity(
-      PlatformAdapter adapter, PartitionedStore controlStore, NodeRecord self) {
+  private CapacityComponents createCapacity(PartitionedStore controlStore, NodeRecord self) {
     return new CapacityComponents(
         settings,
         self,
         controlStore,
-        adapter.duties(controlGroup),
+        duties,
         watch,
         registry,
         controlLoop,
@@ -250,6 +261,33 @@
         metrics);
   }
 
+  private StoreTimeListener timeListener() {
+    return settings.controlService().isPresent() ? time : StoreTimeListener.NONE;
+  }
+
+  private Optional<ControlDuties> createDuties(
+      PlatformAdapter adapter, PartitionedStore controlStore, NodeRecord self) {
+    return settings
+        .controlService()
+        .flatMap(
+            service ->
+                adapter
+                    .duties(controlGroup)
+                    .map(
+                        client ->
+                            new ControlDuties(
+                                service,
+                                client,
+                                controlStore,
+                                registry,
+                                self,
+                                time,
+                                controlLoop,
+                                trafficLoop,
+                                metrics,
+                                () -> loadCommandService.epoch() > 0)));
+  }
+
   private static HttpServer serve(
       EventLoopGroup group, InetSocketAddress address, HttpHandler handler) {
     return HttpServer.builder().group(group).address(address).handler(handler).start();
@@ -309,19 +347,16 @@
     }
     DeploymentView view = watch.view();
     trafficLoop.execute(() -> updateBatchOwners(view));
-    loadCommandService.setCandidate(isCandidate(Duty.ORDERS));
-    capacity.setCandidate(isCandidate(Duty.CAPACITY));
+    boolean leaseCandidate =
+        registry.nodeTable().takeoverRank(settings.nodeId(), "orders") < ORDER_LEASE_CANDIDATES;
+    boolean available = !stopping && registry.isRegistered();
+    loadCommandService.setCandidate(available && leaseCandidate);
+    duties.ifPresent(held -> held.setCandidate(available, registry.nodeTable(), settings.nodeId()));
     if (!stopping && registry.isFresh()) {
       orphanDetector.check(view.owners(), registry.readSentAtMs());
     }
   }
 
-  private boolean isCandidate(Duty duty) {
-    return !stopping
-        && registry.isRegistered()
-        && registry.nodeTable().takeoverRank(settings.nodeId(), duty.id()) < LEASE_CANDIDATES;
-  }
-
   /** Returns the address for callers, with the port that was bound. */
   public InetSocketAddress callerAddress() {
     return callerServer.address();
@@ -386,6 +421,7 @@
         .put("held", loadCommandService.epoch() > 0)
         .put("epoch", loadCommandService.epoch());
     capacity.dump().ifPresent(dump -> json.set("capacity", dump));
+    duties.ifPresent(held -> held.describe(json));
     json.set("nodes", NodeStateJson.nodes(registry.liveNodes()));
     json.set("deployment", NodeStateJson.deployment(watch));
     return CompletableFuture.supplyAsync(() -> components.batches().dump(), trafficLoop)
@@ -487,9 +523,13 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
-    controlLoop.execute(capacity::release);
+    controlLoop.execute(capacity::stop);
+    controlLoop.execute(() -> duties.ifPresent(ControlDuties::release));
     stop.endConnections(this::endRequests);
+    CompletionStage<Void> usageWritten =
+        duties.map(ControlDuties::flush).orElse(CompletableFuture.completedFuture(null));
     stop.await(handedOver::isDone);
+    stop.awaitLastWrites(usageWritten.toCompletableFuture()::isDone);
     registry.stop();
     watch.stop();
     callerServer.close();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/capacity/CapacityService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/capacity/CapacityService.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.capacity.CapacityInput;
 import org.sycamoretrack.core.version.capacity.CapacityInput.PoolCount;
 import org.sycamoretrack.core.version.capacity.CapacityPlanner;
@@ -66,9 +65,9 @@
   private final EventLoop loop;
   private final String nodeId;
   private final DutyLease lease;
-  private final Consumer<DutyOutcome> onOutcome;
   private final Map<String, ServiceCapacity> services = new TreeMap<>();
   private volatile Map<String, CapacityRecord> published = Map.of();
+  private Consumer<DutyOutcome> onOutcome = outcome -> {};
   private boolean loaded;
   private boolean loading;
   private long plannedEpoch;
@@ -78,58 +77,45 @@
    *
    * @param store the store, which completes calls on the loop
    * @param control the client of the control service, which completes calls on the loop
+   * @param lease the lease of the duty, which is acquired elsewhere
    * @param views returns this node's current view of the deployment
    * @param endpointsAgeMs returns the age of the endpoints in the view, in milliseconds
    * @param demand the demand of all nodes
    * @param loop the control loop
-   * @param self this node
-   * @param onOutcome called with the outcome of each call, for metrics
+   * @param nodeId the id of this node
    */
   public CapacityService(
       PartitionedStore store,
       DutyClient control,
+      DutyLease lease,
       Supplier<DeploymentView> views,
       LongSupplier endpointsAgeMs,
       DemandTable demand,
       EventLoop loop,
-      NodeRecord self,
-      Consumer<DutyOutcome> onOutcome) {
+      String nodeId) {
     this.store = store;
     this.control = control;
+    this.lease = lease;
     this.views = views;
     this.endpointsAgeMs = endpointsAgeMs;
     this.demand = demand;
     this.loop = loop;
-    this.nodeId = self.nodeId();
-    this.onOutcome = onOutcome;
-    String holder = self.nodeId() + '@' + self.peerAddress();
-    this.lease = new DutyLease(Duty.CAPACITY, store, loop, holder, self.incarnation());
-  }
-
-  /** Starts to acquire the lease and to plan at an interval. */
-  public void start() {
-    lease.start();
-    Runnable task = Failures.periodicTask("capacity", this::tick);
-    loop.scheduleAtFixedRate(task, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-  }
-
-  /** Sets whether this node tries to acquire the lease. */
-  public void setCandidate(boolean candidate) {
-    lease.setCandidate(candidate);
-  }
-
-  /** Returns the epoch of the lease, or 0 when this node does not hold it. */
-  public long epoch() {
-    return lease.epoch();
+    this.nodeId = nodeId;
   }
 
   /**
-   * Releases the lease.
+   * Sets the listener of the outcomes of orders. To be called before the start.
    *
-   * @return completes after a short delay in which the store is asked to record the release
+   * @param listener called on the loop
    */
-  public CompletionStage<Void> release() {
-    return lease.release();
+  public void onOutcome(Consumer<DutyOutcome> listener) {
+    onOutcome = listener;
+  }
+
+  /** Starts to plan at an interval while the lease is held. */
+  public void start() {
+    Runnable task = Failures.periodicTask("capacity", this::tick);
+    loop.scheduleAtFixedRate(task, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Returns the records by service; empty when this node does not hold the lease. Thread-safe. */
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/capacity/CapacityServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/capacity/CapacityServiceTest.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sycamoretrack.core.process.MonotonicClock;
-import org.sycamoretrack.core.process.ownership.NodeRecord;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 import org.sycamoretrack.core.version.fleet.Fleet;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -35,6 +34,8 @@
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
+import org.sycamoretrack.daemon.version.duty.Duty;
+import org.sycamoretrack.daemon.version.duty.DutyLease;
 import org.sycamoretrack.transport.connection.EventLoops;
 
 /** Tests of {@link CapacityService} over failures of holders, orders and the store. */
@@ -112,21 +113,24 @@
   private EventLoopGroup startNode(String nodeId) {
     EventLoopGroup group = EventLoops.start(nodeId, 1);
     groups.add(group);
+    DutyLease lease =
+        new DutyLease(Duty.CAPACITY, store, group.next(), nodeId + "@" + nodeId + ":1", nodeId);
     CapacityService service =
         new CapacityService(
             store,
             new ControlService(),
+            lease,
             this::view,
             () -> endpointsAgeMs,
             new DemandTable(store, group.next(), (node, incarnation) -> true),
             group.next(),
-            new NodeRecord(nodeId, nodeId + "-1", "za", nodeId + ":1", 0, false),
-            outcome -> {});
+            nodeId);
     group
         .next()
         .execute(
             () -> {
-              service.setCandidate(true);
+              lease.setCandidate(true);
+              lease.start();
               service.start();
             });
     return group;
