Merge capacity orders and shares of models by demand

With the duty autoscale in the settings, one node orders the endpoints of services with scaling terms; with the setting shareByDemand, models get shares by the demand of open batches. Without these settings no row is read or written.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -9,11 +9,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** Registers the metrics of a process with a common prefix and exports them. Thread-safe. */
 final class MetricsRegistry {
@@ -60,12 +63,38 @@
   /** Adds a gauge with a label, whose values are read at each scrape, from any thread. */
   void gauge(String name, String help, String label, Map<String, DoubleSupplier> values) {
     Map<String, DoubleSupplier> suppliers = Map.copyOf(values);
+    gauge(
+        name,
+        help,
+        List.of(label),
+        () -> {
+          Map<List<String>, Double> current = new HashMap<>();
+          suppliers.forEach((key, value) -> current.put(List.of(key), value.getAsDouble()));
+          return current;
+        });
+  }
+
+  /**
+   * Adds a gauge with labels whose values are read at each scrape, from any thread.
+   *
+   * @param name the name without prefix, ending with its unit
+   * @param help the help text, one line
+   * @param labels the names of the labels
+   * @param values returns the current value for each list of label values
+   */
+  void gauge(
+      String name, String help, List<String> labels, Supplier<Map<List<String>, Double>> values) {
     GaugeWithCallback.builder()
         .name(prefixed(name))
         .help(help)
-        .labelNames(label)
+        .labelNames(labels.toArray(String[]::new))
         .callback(
-            callback -> suppliers.forEach((key, value) -> callback.call(value.getAsDouble(), key)))
+            callback ->
+                values
+                    .get()
+                    .forEach(
+                        (labelValues, value) ->
+                            callback.call(value, labelValues.toArray(String[]::new))))
         .register(registry);
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -2,10 +2,12 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * The metrics of a node that keeps its state in the platform's store. Names start with {@code
@@ -133,6 +135,16 @@
     registry.gauge(name, help, value);
   }
 
+  /**
+   * Adds the metrics of capacity, which nodes of other deployments don't have.
+   *
+   * @param targets returns the ordered number of endpoints for each list of service, zone and kind;
+   *     called from any thread
+   */
+  public CapacityMetrics addCapacity(Supplier<Map<List<String>, Double>> targets) {
+    return new CapacityMetrics(registry, targets);
+  }
+
   /**
    * Adds the metrics of duties at the control service, which other nodes don't have.
    *
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/ControlDuties.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/ControlDuties.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -47,6 +48,7 @@
   private final EventLoop controlLoop;
   private final EventLoop trafficLoop;
   private final TrueTime time;
+  private final DutyClient client;
   private final UsageWindows windows;
   private final UsageCounter counter;
   private final UsageMeter meter;
@@ -90,6 +92,7 @@
     this.windows = new UsageWindows(settings.usageWindowMs());
     this.counter = new UsageCounter(windows);
     DutyMetrics dutyMetrics = metrics.addDuties(heldGauges(ordersHeld), this::usageLagMs);
+    this.client = new MeteredDutyClient(client, dutyMetrics);
     if (leases.containsKey(Duty.USAGE)) {
       this.meter = new UsageMeter(counter, time::nowMs);
       this.writer =
@@ -105,7 +108,7 @@
           new UsageReporter(
               new UsageStore(store, controlLoop, windows),
               leases.get(Duty.USAGE),
-              new MeteredDutyClient(client, dutyMetrics),
+              this.client,
               self.nodeId(),
               windows,
               settings.usageDeadlineMs(),
@@ -129,6 +132,16 @@
     return reporter == null ? 0 : reporter.lagMs();
   }
 
+  /** Returns the client of the control service. */
+  DutyClient client() {
+    return client;
+  }
+
+  /** Returns the lease of a duty, if the settings list it. */
+  Optional<DutyLease> lease(Duty duty) {
+    return Optional.ofNullable(leases.get(duty));
+  }
+
   /** Returns the meter of plain requests, which counts nothing if usage isn't reported. */
   UsageMeter meter() {
     return meter;
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -97,6 +97,7 @@
   private final NodeRegistry registry;
   private final OrphanedBatchDetector orphanDetector;
   private final LoadCommandService loadCommandService;
+  private final CapacityComponents capacity;
   private final TrueTime time = new TrueTime();
   private final Optional<ControlDuties> duties;
   private final BatchComponents components;
@@ -144,6 +145,8 @@
             incarnation,
             registry.nodeTable(),
             owner -> trafficLoop.execute(() -> components.batches().takeOver(owner)));
+    this.duties = createDuties(adapter, controlStore, self);
+    this.capacity = createCapacity(controlStore, self);
     this.loadCommandService =
         new LoadCommandService(
             controlStore,
@@ -151,8 +154,8 @@
             watch::view,
             controlLoop,
             self,
-            settings.loadLimit());
-    this.duties = createDuties(adapter, controlStore, self);
+            settings.loadLimit(),
+            capacity.shareAssigner());
     this.batchCleaner =
         new ExpiredBatchCleaner(
             controlStore,
@@ -184,6 +187,7 @@
     node.watch.start();
     node.registry.start();
     node.loadCommandService.start();
+    node.capacity.start();
     node.duties.ifPresent(node::startDuties);
     node.scheduleRepeatedly("node", node::tick, TICK_MS);
     node.scheduleRepeatedly("sweep", node::sweep, SWEEP_INTERVAL_MS);
@@ -244,6 +248,20 @@
         .build();
   }
 
+  private CapacityComponents createCapacity(PartitionedStore controlStore, NodeRecord self) {
+    return new CapacityComponents(
+        settings,
+        self,
+        controlStore,
+        duties,
+        watch,
+        registry,
+        controlLoop,
+        () ->
+            CompletableFuture.supplyAsync(() -> components.batches().measureDemand(), trafficLoop),
+        metrics);
+  }
+
   private StoreTimeListener timeListener() {
     return settings.controlService().isPresent() ? time : StoreTimeListener.NONE;
   }
@@ -404,6 +422,7 @@
     json.putObject("orderLease")
         .put("held", loadCommandService.epoch() > 0)
         .put("epoch", loadCommandService.epoch());
+    capacity.dump().ifPresent(dump -> json.set("capacity", dump));
     duties.ifPresent(held -> held.describe(json));
     json.set("nodes", NodeStateJson.nodes(registry.liveNodes()));
     json.set("deployment", NodeStateJson.deployment(watch));
@@ -506,6 +525,7 @@
                 .whenComplete(
                     Failures.loggingExceptions((done, failure) -> handedOver.complete(null))));
     controlLoop.execute(loadCommandService::release);
+    controlLoop.execute(capacity::stop);
     controlLoop.execute(() -> duties.ifPresent(ControlDuties::release));
     stop.endConnections(this::endRequests);
     CompletionStage<Void> usageWritten =
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -24,6 +24,7 @@
   private final long drainMs;
   private final long resultsPromisedMs;
   private final ControlServiceSettings controlService;
+  private final boolean shareByDemand;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -39,9 +40,10 @@
     this.drainMs = builder.drainMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
     this.controlService = builder.controlService;
+    this.shareByDemand = builder.shareByDemand;
   }
 
-  /** Returns a builder; all values must be set, except that of the control service. */
+  /** Returns a builder; all values but the last two must be set. */
   public static Builder builder() {
     return new Builder();
   }
@@ -111,6 +113,11 @@
     return Optional.ofNullable(controlService);
   }
 
+  /** Returns whether the shares of models follow their demand instead of having the same size. */
+  public boolean shareByDemand() {
+    return shareByDemand;
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -126,7 +133,8 @@
         && cancelMs == that.cancelMs
         && drainMs == that.drainMs
         && resultsPromisedMs == that.resultsPromisedMs
-        && Objects.equals(controlService, that.controlService);
+        && Objects.equals(controlService, that.controlService)
+        && shareByDemand == that.shareByDemand;
   }
 
   @Override
@@ -149,6 +157,7 @@
     private long drainMs = LongPollWait.MIN_DRAIN_MS;
     private long resultsPromisedMs;
     private ControlServiceSettings controlService;
+    private boolean shareByDemand;
 
     private Builder() {}
 
@@ -236,6 +245,12 @@
       return this;
     }
 
+    /** Sets whether the shares of models follow their demand; false by default. */
+    public Builder shareByDemand(boolean value) {
+      this.shareByDemand = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
