Decide by load, price and deadline which work leaves the zone

Cause: SlotPlacement prefers its own zone by a constant, so that about as much crosses zones as without it, whatever it costs. Change: core.connection.ZoneOverflow with its terms (ZoneTraffic), work (ZoneWork) and measurements (ResponseTimes); SlotPlacement.choose(ZoneWork, ...) uses it if it was created with one, and the constant otherwise.

--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotPlacement.java
@@ -1,6 +1,8 @@
 package org.sycamoretrack.core.connection;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.sycamoretrack.core.version.fleet.Endpoint;
 
@@ -14,6 +16,9 @@
  * slow: an item that is moved away from it must not return. An endpoint in the node's own zone is
  * preferred if it costs at most {@value #ZONE_ALLOWANCE} more.
  *
+ * <p>With a {@link ZoneOverflow}, that decides the zone of a piece of work instead, and the
+ * endpoint with the lowest cost in this zone is selected.
+ *
  * <p>Designed for groups of items with the same prompt, endpoints with brief slowdowns, and several
  * nodes that place requests without coordination.
  */
@@ -29,9 +34,10 @@
 
   private final SlotTracker tracker;
   private final String zone;
+  private final ZoneOverflow overflow;
 
   /**
-   * Creates an instance.
+   * Creates an instance that prefers the node's zone by a constant.
    *
    * @param tracker the slots in use
    * @param zone the node's availability zone
@@ -39,6 +45,53 @@
   public SlotPlacement(SlotTracker tracker, String zone) {
     this.tracker = tracker;
     this.zone = zone;
+    this.overflow = null;
+  }
+
+  /**
+   * Creates an instance that has the zone decided for each piece of work.
+   *
+   * @param tracker the slots in use
+   * @param overflow decides the zone
+   */
+  public SlotPlacement(SlotTracker tracker, ZoneOverflow overflow) {
+    this.tracker = tracker;
+    this.zone = overflow.zone();
+    this.overflow = overflow;
+  }
+
+  /**
+   * Selects the endpoint of a piece of work.
+   *
+   * @param work the work; an item needs a free slot, a plain request doesn't
+   * @param candidates the endpoints that may run it
+   * @param preferred the ids of the endpoints that have already processed its prompt
+   * @param nowMs the monotonic time in milliseconds
+   * @return the endpoint, or null if there is none or an item has to wait
+   */
+  public Endpoint choose(
+      ZoneWork work, List<Endpoint> candidates, Set<String> preferred, long nowMs) {
+    boolean needsSlot = work.kind() == ZoneWork.Kind.ITEM;
+    if (overflow == null) {
+      return choose(candidates, preferred, needsSlot, nowMs);
+    }
+    Map<String, Endpoint> choices = new LinkedHashMap<>();
+    Map<String, Double> costs = new LinkedHashMap<>();
+    for (Endpoint endpoint : candidates) {
+      boolean unusable =
+          tracker.isPaused(endpoint.id(), nowMs)
+              || (needsSlot && tracker.free(endpoint, nowMs) == 0);
+      double slowdown = Math.max(1, overflow.slowdown(work, endpoint, nowMs));
+      double cost = cost(endpoint, preferred, slowdown, nowMs);
+      if (!unusable && cost < costs.getOrDefault(endpoint.zone(), Double.MAX_VALUE)) {
+        choices.put(endpoint.zone(), endpoint);
+        costs.put(endpoint.zone(), cost);
+      }
+    }
+    if (choices.isEmpty()) {
+      return choose(candidates, preferred, needsSlot, nowMs);
+    }
+    return choices.get(overflow.zoneFor(work, candidates, choices, nowMs));
   }
 
   /**
@@ -72,7 +125,8 @@
       boolean unusable =
           needsSlot
               && (tracker.isPaused(endpoint.id(), nowMs) || tracker.free(endpoint, nowMs) == 0);
-      double cost = cost(endpoint, preferred, nowMs);
+      double slowdown = Math.max(1, tracker.worstSlowdown(endpoint.id(), nowMs));
+      double cost = cost(endpoint, preferred, slowdown, nowMs);
       if (!unusable && cost < bestCost) {
         best = endpoint;
         bestCost = cost;
@@ -81,9 +135,8 @@
     return best;
   }
 
-  private double cost(Endpoint endpoint, Set<String> preferred, long nowMs) {
+  private double cost(Endpoint endpoint, Set<String> preferred, double slowdown, long nowMs) {
     int slots = Math.max(1, endpoint.slots());
-    double slowdown = Math.max(1, tracker.worstSlowdown(endpoint.id(), nowMs));
     double cost = (tracker.load(endpoint.id(), nowMs) + 1.0) / slots * slowdown;
     if (tracker.isPaused(endpoint.id(), nowMs)) {
       cost += 1;
--- a/core/src/main/java/org/sycamoretrack/core/connection/SlotTracker.java
+++ b/core/src/main/java/org/sycamoretrack/core/connection/SlotTracker.java
@@ -151,6 +151,20 @@
     return usage.ownRequests + (valid ? usage.otherRequests : 0);
   }
 
+  /**
+   * Returns the number of requests of others at an endpoint according to its last report, however
+   * old that is; 0 if there was none.
+   */
+  int reportedOthers(String endpointId) {
+    return usage(endpointId).otherRequests;
+  }
+
+  /** Returns the age of the last report of an endpoint, or a very large number if there is none. */
+  long reportAgeMs(String endpointId, long nowMs) {
+    long reportedAtMs = usage(endpointId).reportedAtMs;
+    return reportedAtMs > 0 ? nowMs - reportedAtMs : Integer.MAX_VALUE;
+  }
+
   /**
    * Returns the number of free slots.
    *
