Place requests and items by the setting zoneTraffic

Cause: the decision on traffic between zones had no use yet. Change: zoneTraffic {pricePerGb, valuePerSecond} in the settings of a node; with it, Forwarder and BatchScheduler let ZoneOverflow decide the zone of first attempts. ZoneMeteredEndpointClient reports times and refusals to it and counts zone_bytes_total; zone_overflow_share and the line zone-overflow show when a zone sends elsewhere. Without the setting neither is created. No run with several zones as processes.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/MetricsRegistry.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.process;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -39,6 +40,11 @@
     return Counter.builder().name(prefixed(name)).help(help).labelNames(labels).register(registry);
   }
 
+  /** Adds a gauge with labels, whose values are set. */
+  Gauge labelledGauge(String name, String help, String... labels) {
+    return Gauge.builder().name(prefixed(name)).help(help).labelNames(labels).register(registry);
+  }
+
   /** Adds a gauge whose value is read at each scrape, from any thread. */
   void gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/StoreBackedNodeMetrics.java
@@ -1,6 +1,7 @@
 package org.sycamoretrack.daemon.process;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -106,6 +107,14 @@
           "stray_responses_total",
           "Responses of endpoints that aren't the response to the current request",
           "kind");
+  private final Counter zoneBytes =
+      registry.counter(
+          "zone_bytes_total",
+          "Bytes of requests to endpoints of other zones and of their responses",
+          "direction");
+  private final Gauge zoneOverflowShare =
+      registry.labelledGauge(
+          "zone_overflow_share", "Share of the recent work that was sent to another zone", "zone");
   private final AtomicInteger openBatches = new AtomicInteger();
 
   /** Creates metrics with all counters at zero. */
@@ -241,6 +250,26 @@
     storeCallTime.labelValues(call).observe(elapsedMs / MetricsRegistry.MS_PER_SECOND);
   }
 
+  /**
+   * Records data exchanged with an endpoint of another availability zone.
+   *
+   * @param direction {@code sent} or {@code received}
+   * @param bytes the number of bytes
+   */
+  public void onZoneBytes(String direction, long bytes) {
+    zoneBytes.labelValues(direction).inc(bytes);
+  }
+
+  /**
+   * Sets the share of the recent work that was sent to another availability zone.
+   *
+   * @param zone the other zone; zones are few
+   * @param share the share, from 0 to 1
+   */
+  public void setZoneOverflowShare(String zone, double share) {
+    zoneOverflowShare.labelValues(zone).set(share);
+  }
+
   /** Returns all metrics in Prometheus text format. */
   public String scrape() {
     return registry.scrape();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -225,6 +225,7 @@
         .incarnation(incarnation)
         .zone(settings.zone())
         .poison(poison)
+        .zoneTraffic(settings.zoneTraffic())
         .build();
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
+import org.sycamoretrack.core.connection.ZoneTraffic;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 
 /**
@@ -20,6 +22,7 @@
   private final long graceMs;
   private final long cancelMs;
   private final long resultsPromisedMs;
+  private final ZoneTraffic zoneTraffic;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -33,9 +36,10 @@
     this.graceMs = builder.graceMs;
     this.cancelMs = builder.cancelMs;
     this.resultsPromisedMs = builder.resultsPromisedMs;
+    this.zoneTraffic = builder.zoneTraffic;
   }
 
-  /** Returns a builder; all values must be set. */
+  /** Returns a builder; all values must be set, except the terms of traffic between zones. */
   public static Builder builder() {
     return new Builder();
   }
@@ -95,6 +99,11 @@
     return resultsPromisedMs;
   }
 
+  /** Returns the terms of traffic between availability zones; empty to place without them. */
+  public Optional<ZoneTraffic> zoneTraffic() {
+    return Optional.ofNullable(zoneTraffic);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -108,7 +117,8 @@
         && loadLimit.equals(that.loadLimit)
         && graceMs == that.graceMs
         && cancelMs == that.cancelMs
-        && resultsPromisedMs == that.resultsPromisedMs;
+        && resultsPromisedMs == that.resultsPromisedMs
+        && Objects.equals(zoneTraffic, that.zoneTraffic);
   }
 
   @Override
@@ -129,6 +139,7 @@
     private long graceMs;
     private long cancelMs;
     private long resultsPromisedMs;
+    private ZoneTraffic zoneTraffic;
 
     private Builder() {}
 
@@ -201,6 +212,12 @@
       return this;
     }
 
+    /** Sets the terms of traffic between availability zones; null, the default, for none. */
+    public Builder zoneTraffic(ZoneTraffic value) {
+      this.zoneTraffic = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchComponents.java
@@ -2,11 +2,20 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
+import org.sycamoretrack.core.connection.ZoneOverflow;
+import org.sycamoretrack.core.connection.ZoneTraffic;
+import org.sycamoretrack.core.connection.ZoneWork;
+import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.daemon.client.EndpointClient;
+import org.sycamoretrack.daemon.client.Failures;
 import org.sycamoretrack.daemon.client.PartitionedStore;
+import org.sycamoretrack.daemon.client.ZoneMeteredEndpointClient;
+import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.request.PoisonGuard;
 import org.sycamoretrack.daemon.request.forward.Forwarder;
@@ -17,17 +26,31 @@
  * calls and plain requests use the same tracker of endpoint slots.
  */
 public final class BatchComponents {
+  /** Half of the time for which a zone without reason to send goes on. */
+  private static final long OVERFLOW_TICK_MS = 250;
+
+  private static final System.Logger LOG = System.getLogger(BatchComponents.class.getName());
+
   private final BatchService batches;
   private final Forwarder forwarder;
 
   private BatchComponents(Builder builder) {
     SlotTracker tracker = new SlotTracker();
     SlotPlacement placement = new SlotPlacement(tracker, builder.zone);
+    EndpointClient endpoints = builder.endpoints;
+    if (builder.zoneTraffic.isPresent()) {
+      ZoneOverflow overflow =
+          new ZoneOverflow(
+              tracker, builder.zone, builder.zoneTraffic.get(), BatchComponents::logOverflowChange);
+      placement = new SlotPlacement(tracker, overflow);
+      endpoints = new ZoneMeteredEndpointClient(endpoints, overflow, builder.metrics);
+      scheduleOverflowTicks(overflow, builder);
+    }
     BatchScheduler scheduler =
-        new BatchScheduler(builder.endpoints, builder.views, tracker, placement, builder.loop);
+        new BatchScheduler(endpoints, builder.views, tracker, placement, builder.loop);
     ScoreScheduler scores =
         new ScoreScheduler(
-            builder.endpoints, builder.views, tracker, placement, builder.loop, builder.metrics);
+            endpoints, builder.views, tracker, placement, builder.loop, builder.metrics);
     this.batches =
         new BatchService(
             builder.store,
@@ -39,7 +62,7 @@
             builder.metrics);
     this.forwarder =
         new Forwarder(
-            builder.endpoints,
+            endpoints,
             builder.views,
             tracker,
             placement,
@@ -48,6 +71,27 @@
             builder.poison);
   }
 
+  private static void scheduleOverflowTicks(ZoneOverflow overflow, Builder builder) {
+    Runnable tick =
+        () -> overflow.tick(MonotonicClock.nowMs()).forEach(builder.metrics::setZoneOverflowShare);
+    builder.loop.scheduleAtFixedRate(
+        Failures.periodicTask("zone-overflow", tick),
+        OVERFLOW_TICK_MS,
+        OVERFLOW_TICK_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private static void logOverflowChange(
+      ZoneWork.Kind kind, String pool, String toZone, long expectedMs) {
+    LOG.log(
+        System.Logger.Level.INFO,
+        LogEvent.of("zone-overflow")
+            .with("kind", kind)
+            .with("pool", pool)
+            .with("toZone", toZone)
+            .with("expectedMs", expectedMs));
+  }
+
   public static Builder builder() {
     return new Builder();
   }
@@ -60,7 +104,7 @@
     return forwarder;
   }
 
-  /** Builds {@link BatchComponents}; all values are required. */
+  /** Builds {@link BatchComponents}; all values but the terms of traffic are required. */
   public static final class Builder {
     private PartitionedStore store;
     private EndpointClient endpoints;
@@ -71,6 +115,7 @@
     private String zone;
     private StoreBackedNodeMetrics metrics;
     private PoisonGuard poison;
+    private Optional<ZoneTraffic> zoneTraffic = Optional.empty();
 
     private Builder() {}
 
@@ -128,6 +173,12 @@
       return this;
     }
 
+    /** Sets the terms of traffic between availability zones; empty, the default, for none. */
+    public Builder zoneTraffic(Optional<ZoneTraffic> zoneTraffic) {
+      this.zoneTraffic = zoneTraffic;
+      return this;
+    }
+
     /** Creates the components. */
     public BatchComponents build() {
       Objects.requireNonNull(store, "store");
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchScheduler.java
@@ -11,9 +11,11 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
+import org.sycamoretrack.core.connection.ZoneWork;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.batch.BatchItem;
 import org.sycamoretrack.core.request.batch.BatchMovePolicy;
+import org.sycamoretrack.core.request.batch.BatchSubmission;
 import org.sycamoretrack.core.request.batch.ItemProgress;
 import org.sycamoretrack.core.request.batch.LongestFirstOrder;
 import org.sycamoretrack.core.version.fleet.Endpoint;
@@ -157,17 +159,40 @@
   }
 
   private void dispatch(BatchRunner runner, long nowMs) {
-    for (ItemProgress item : itemOrder.waiting(runner.batch(), nowMs)) {
+    List<ItemProgress> waiting = itemOrder.waiting(runner.batch(), nowMs);
+    int started = 0;
+    for (ItemProgress item : waiting) {
       List<Endpoint> candidates = candidates(runner, item.item());
       Set<String> preferred = runner.endpointsOf(item.item().group());
-      Endpoint endpoint = placement.chooseFree(candidates, preferred, nowMs);
+      // An item that ran before may go to any zone: its endpoint may stand for a slow zone.
+      Endpoint endpoint =
+          item.text().lastEvent() > 0 || item.interruptions() > 0
+              ? placement.chooseFree(candidates, preferred, nowMs)
+              : placement.choose(
+                  work(runner, item, waiting.size() - started), candidates, preferred, nowMs);
       if (endpoint == null) {
         return;
       }
       runner.start(item, endpoint);
+      started++;
     }
   }
 
+  private ZoneWork work(BatchRunner runner, ItemProgress item, int waiting) {
+    BatchSubmission submission = runner.batch().submission();
+    long dueMs = submission.routeSettings().dueMs();
+    long remainingMs =
+        dueMs == 0
+            ? Long.MAX_VALUE
+            : submission.acceptedAtMs() + dueMs - System.currentTimeMillis();
+    return ZoneWork.item(
+        ZoneWork.itemPool(submission.service(), item.item().model()),
+        item.item().body().length,
+        itemOrder.expectedTokens(item),
+        waiting,
+        remainingMs);
+  }
+
   /** Returns the endpoints that may serve an item: those of its model's share, if there are any. */
   private List<Endpoint> candidates(BatchRunner runner, BatchItem item) {
     DeploymentView view = views.get();
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/ForwardedCall.java
@@ -139,7 +139,7 @@
       lastReason = "the node is stopping";
       return false;
     }
-    Endpoint endpoint = forwarder.choose(service, fingerprint, tried);
+    Endpoint endpoint = forwarder.choose(service, fingerprint, tried, request.body().length);
     if (endpoint == null) {
       return false;
     }
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.sycamoretrack.core.connection.SlotPlacement;
 import org.sycamoretrack.core.connection.SlotTracker;
+import org.sycamoretrack.core.connection.ZoneWork;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.request.ServiceTimes;
 import org.sycamoretrack.core.request.StopAdmission;
@@ -139,14 +140,20 @@
     return crashes;
   }
 
-  /** Returns an endpoint that hasn't been tried and may run the request, or null if none may. */
-  Endpoint choose(String service, String fingerprint, Set<String> tried) {
+  /**
+   * Returns an endpoint that hasn't been tried and may run the request, or null if none may. A
+   * further attempt may go to any zone, since the endpoint that failed may stand for its zone.
+   */
+  Endpoint choose(String service, String fingerprint, Set<String> tried, int bodyBytes) {
     List<Endpoint> candidates =
         views.get().fleet().inService(service).stream()
             .filter(endpoint -> !tried.contains(endpoint.id()))
             .filter(endpoint -> crashes.maySend(fingerprint, endpoint))
             .toList();
-    return placement.chooseAny(candidates, MonotonicClock.nowMs());
+    long nowMs = MonotonicClock.nowMs();
+    return tried.isEmpty()
+        ? placement.choose(ZoneWork.plain(service, bodyBytes), candidates, Set.of(), nowMs)
+        : placement.chooseAny(candidates, nowMs);
   }
 
   void schedule(Runnable action, long delayMs) {
