--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import org.sycamoretrack.core.connection.ZoneTraffic;
 import org.sycamoretrack.core.process.LongPollWait;
 import org.sycamoretrack.core.version.weights.ConcurrentLoadLimit;
 
@@ -25,6 +26,7 @@
   private final long resultsPromisedMs;
   private final ControlServiceSettings controlService;
   private final boolean shareByDemand;
+  private final ZoneTraffic zoneTraffic;
 
   private StoreBackedNodeSettings(Builder builder) {
     this.nodeId = Objects.requireNonNull(builder.nodeId, "nodeId");
@@ -41,9 +43,10 @@
     this.resultsPromisedMs = builder.resultsPromisedMs;
     this.controlService = builder.controlService;
     this.shareByDemand = builder.shareByDemand;
+    this.zoneTraffic = builder.zoneTraffic;
   }
 
-  /** Returns a builder; all values but the last two must be set. */
+  /** Returns a builder; all values must be set, except those with a default. */
   public static Builder builder() {
     return new Builder();
   }
@@ -118,6 +121,11 @@
     return shareByDemand;
   }
 
+  /** Returns the terms of traffic between availability zones; empty to place without them. */
+  public Optional<ZoneTraffic> zoneTraffic() {
+    return Optional.ofNullable(zoneTraffic);
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof StoreBackedNodeSettings that
@@ -134,7 +142,8 @@
         && drainMs == that.drainMs
         && resultsPromisedMs == that.resultsPromisedMs
         && Objects.equals(controlService, that.controlService)
-        && shareByDemand == that.shareByDemand;
+        && shareByDemand == that.shareByDemand
+        && Objects.equals(zoneTraffic, that.zoneTraffic);
   }
 
   @Override
@@ -158,6 +167,7 @@
     private long resultsPromisedMs;
     private ControlServiceSettings controlService;
     private boolean shareByDemand;
+    private ZoneTraffic zoneTraffic;
 
     private Builder() {}
 
@@ -251,6 +261,12 @@
       return this;
     }
 
+    /** Sets the terms of traffic between availability zones; null, the default, for none. */
+    public Builder zoneTraffic(ZoneTraffic value) {
+      this.zoneTraffic = value;
+      return this;
+    }
+
     /** Builds the settings. */
     public StoreBackedNodeSettings build() {
       return new StoreBackedNodeSettings(this);
