--- a/core/src/test/java/org/sycamoretrack/core/connection/ZoneOverflowLoadTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/connection/ZoneOverflowLoadTest.java
@@ -44,7 +44,7 @@
 
   /**
    * Zones that are all overloaded still exchange some items, and a slot that passes between nodes
-   * stays idle until its next report.
+   * is probably idle until its next report.
    */
   private static final double OVERLOAD_TOLERANCE = 0.05;
 
