State the reason for spreading relay peers as far as it was shown

Cause: a comment and the design page said that the preferred peers were overloaded and that calls timed out. No code changes.

--- a/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/RelayPeers.java
@@ -22,8 +22,7 @@
  *
  * <p>A node that relays calls needs processor time for each of them. {@link #preferenceOrder} gives
  * each node an order of its own, so that the calls of a third of a hundred nodes are spread over
- * the others. When all of them used the first peer of each zone, these had more calls than a small
- * host can serve, and the calls timed out.
+ * the others. With a common order, the first peer of each zone would relay for all of them.
  *
  * <p>Example: for a node in zone a and the peers a1, a2, b1, b2, c1, the selection is a1, b1, c1.
  * When b1 reports that it can't reach the service, it becomes a1, c1, a2.
