--- a/review/part2/CancelledStep.java
+++ b/review/part2/CancelledStep.java
@@ -13,6 +13,7 @@
   private static final long CANCEL_MS = 3_000;
   private static final long STABLE_MS = 3_000;
   private static final long DEAF_MS = 1_000;
+  private static final long ENDED_AFTER_MS = 400;
   private static final long LIMIT_MS = 25_000;
   private static final String LONG_BATCH = "11aa41e09b52";
   private static final String ENDED_BATCH = "22bb41e09b52";
@@ -61,6 +62,7 @@
     int accepted =
         deployment.send(
             owner, "POST", Deployment.BATCH_PREFIX + ENDED_BATCH, ENDED_BATCH, body, 6_000);
+    StoreSim.sleep(ENDED_AFTER_MS);
     int ended =
         deployment.send(other, "DELETE", "/-/lots/" + ENDED_BATCH, null, new byte[0], 3_000);
     long ackMs = record.nowMs();
--- a/review/part2/Deployment.java
+++ b/review/part2/Deployment.java
@@ -23,7 +23,7 @@
   static final String PLAIN_SERVICE = "wuno96b";
   static final String BATCH_PREFIX = "/pufi791/";
   static final String PLAIN_PREFIX = "/lohu930/";
-  private static final long START_TIMEOUT_MS = 30_000;
+  private static final long START_TIMEOUT_MS = 60_000;
 
   /** A run of a request or an item on a sampler; the end is -1 while it runs. */
   static final class Run {
@@ -44,7 +44,7 @@
   private final Path directory;
   final Record record;
   final StoreSim store;
-  final List<NodeProc> nodes = new ArrayList<>();
+  final List<NodeProc> nodes = new CopyOnWriteArrayList<>();
   final List<SamplerSim> samplers = new ArrayList<>();
   final List<Run> runs = new CopyOnWriteArrayList<>();
 
@@ -84,18 +84,22 @@
     }
   }
 
-  /** Writes the manifest and starts the nodes; returns whether all are ready. */
-  boolean start(int nodeCount) throws IOException {
+  static Map<String, Object> plainRoute(String prefix, String type, int timeoutMs) {
     Map<String, Object> plain = new LinkedHashMap<>();
-    plain.put("name", "r-plain");
+    plain.put("name", "r-" + prefix.replace("/", ""));
     plain.put("host", HOST);
-    plain.put("prefix", PLAIN_PREFIX);
-    plain.put("route_type", "safe");
-    plain.put("timeout_ms", 1_500);
+    plain.put("prefix", prefix);
+    plain.put("route_type", type);
+    plain.put("timeout_ms", timeoutMs);
     plain.put("slo_ms", 184);
     plain.put("priority", 2);
     plain.put("service", PLAIN_SERVICE);
     plain.put("attempts", 2);
+    return plain;
+  }
+
+  /** Writes a manifest with the usual routes and further ones. */
+  void putManifest(int version, List<Map<String, Object>> more) {
     Map<String, Object> batch = new LinkedHashMap<>();
     batch.put("name", "r-batch");
     batch.put("host", HOST);
@@ -112,8 +116,11 @@
     batch.put("sticky", true);
     batch.put("resumable", true);
     Map<String, Object> manifest = new LinkedHashMap<>();
-    manifest.put("version", 7);
-    manifest.put("routes", List.of(plain, batch));
+    manifest.put("version", version);
+    List<Map<String, Object>> routes = new ArrayList<>(more);
+    routes.add(plainRoute(PLAIN_PREFIX, "safe", 1_500));
+    routes.add(batch);
+    manifest.put("routes", routes);
     manifest.put(
         "services",
         List.of(
@@ -130,11 +137,14 @@
             "header_bytes", 16_384, "body_bytes", 33_554_432, "header_timeout_ms", 3_000,
             "idle_timeout_ms", 15_000));
     store.put("op", "config", Json.write(manifest));
+    record.add("manifest %d written", version);
+  }
+
+  /** Writes the manifest and starts the nodes; returns whether all are ready. */
+  boolean start(int nodeCount) throws IOException {
+    putManifest(7, List.of());
     for (int i = 0; i < nodeCount; i++) {
-      String zone = "zone-" + (char) ('a' + i % 2);
-      NodeProc node = new NodeProc(root, directory, "node-" + (i + 1), zone, store.address());
-      nodes.add(node);
-      node.start();
+      addNode();
     }
     boolean ready = await(START_TIMEOUT_MS, () -> nodes.stream().allMatch(NodeProc::isReady));
     record.add("nodes ready: %s", ready);
@@ -143,6 +153,16 @@
     return ready;
   }
 
+  /** Starts a further node, without waiting until it is ready. */
+  NodeProc addNode() throws IOException {
+    int number = nodes.size() + 1;
+    String zone = "zone-" + (char) ('a' + number % 2);
+    NodeProc node = new NodeProc(root, directory, "node-" + number, zone, store.address());
+    nodes.add(node);
+    node.start();
+    return node;
+  }
+
   static boolean await(long timeoutMs, BooleanSupplier condition) {
     long end = System.nanoTime() + timeoutMs * 1_000_000;
     while (!condition.getAsBoolean()) {
--- a/review/part2/NodeProc.java
+++ b/review/part2/NodeProc.java
@@ -1,17 +1,23 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A node of the project, started with the command of the deploy file. */
 final class NodeProc implements AutoCloseable {
   private static final String PLACEHOLDER = "/etc/sycamoretrack/node.toml";
+  private static final int FIRST_PORT = 15_000;
+  private static final int LAST_PORT = 32_000;
+  private static int nextPort = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
 
   private final String id;
   private final Path root;
@@ -47,16 +53,18 @@
             ).replaceFirst("\\}$", ",\"resultsPromisedSeconds\":120}"));
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
+  /** Returns free ports below the range of ports that outgoing connections get. */
+  private static synchronized List<Integer> freePorts(int count) throws IOException {
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    while (ports.size() < count) {
+      nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), nextPort));
+        ports.add(nextPort);
+      } catch (BindException e) {
+        // The port is in use: the next one is tried.
+      }
     }
     return ports;
   }
--- a/review/part2/SamplerSim.java
+++ b/review/part2/SamplerSim.java
@@ -16,6 +16,7 @@
  */
 final class SamplerSim implements AutoCloseable {
   static final int TOKENS_PER_EVENT = 50;
+  private static final int EVENT_BYTES = 310;
   private static final long PLAIN_MS = 30;
 
   /** Receives what samplers run. */
@@ -169,7 +170,9 @@
       if (closed) {
         throw new IOException("the sampler has ended");
       }
-      String text = "id: " + event + "\ndata: " + requestId + " event " + event + "\n\n";
+      String data = requestId + " event " + event + " ";
+      data += "x".repeat(EVENT_BYTES - data.length());
+      String text = "id: " + event + "\ndata: " + data + "\n\n";
       out.write(text.getBytes(StandardCharsets.UTF_8));
       out.flush();
     }
--- a/review/part2/StoreSim.java
+++ b/review/part2/StoreSim.java
@@ -42,6 +42,7 @@
   private final HttpServer server;
   private final Record record;
   private final Map<Key, Row> rows = new HashMap<>();
+  private final Map<String, Long> newestByTable = new HashMap<>();
   private final Map<String, Long> beats = new HashMap<>();
   private long ver;
   private long historyFloor;
@@ -133,6 +134,7 @@
     Row row = rows.computeIfAbsent(key, Row::new);
     row.value = value;
     row.ver = ++ver;
+    newestByTable.put(key.table(), ver);
     notifyAll();
   }
 
@@ -262,12 +264,14 @@
       Row row = rows.computeIfAbsent(key(put), Row::new);
       row.value = (String) put.get("value");
       row.ver = ver;
+      newestByTable.put(row.key.table(), ver);
     }
     for (Map<String, Object> removal : Json.objects(call, "remove")) {
       Row row = rows.get(key(removal));
       if (row != null && row.value != null) {
         row.value = null;
         row.ver = ver;
+        newestByTable.put(row.key.table(), ver);
       }
     }
     notifyAll();
@@ -331,8 +335,9 @@
         if (after < historyFloor) {
           return new Answer(410, json());
         }
+        boolean hasChanged = newestByTable.getOrDefault(query.get("table"), 0L) > after;
         List<Row> changed =
-            rows.values().stream()
+            (hasChanged ? rows.values() : List.<Row>of()).stream()
                 .filter(row -> row.ver > after && row.key.table().equals(query.get("table")))
                 .sorted(Comparator.comparingLong(row -> row.ver))
                 .toList();
@@ -346,7 +351,7 @@
         return null;
       }
       try {
-        wait(Math.clamp((deadline - System.nanoTime()) / 1_000_000, 1, 50));
+        wait(Math.clamp((deadline - System.nanoTime()) / 1_000_000, 1, 1_000));
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return null;
