Review: scripts name TROUBLE, stand-ins move into a case folder

Cause: each run.sh left TROUBLE to its driver, which read it from the environment, and review/part2 is no case folder.

Change: run.sh passes TROUBLE on as an argument; the shared stand-ins are in review/6/standins, each driver in the folder of its case.

--- a/review/part2/case.sh
+++ b/review/6/standins/case.sh
@@ -1,4 +1,5 @@
-# Sourced by the scripts of the cases: runs the driver class $1 for the case in the folder $2.
+# Sourced by the scripts of the cases: runs the driver class $1 for the case in the folder $2, with
+# the disruption unless $3 is 0.
 # Exit code 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -uo pipefail
 case_dir=$(cd "$2" && pwd)
@@ -10,7 +11,7 @@
   exit 2
 fi
 timeout -k 5 115 "$JAVA_HOME/bin/java" -Dsun.net.httpserver.nodelay=true \
-  -Dsun.net.httpserver.maxIdleConnections=1000 -cp target/review-2 "$1" "$root" "$case_dir"
+  -Dsun.net.httpserver.maxIdleConnections=1000 -cp target/review-2 "$1" "$root" "$case_dir" "$3"
 status=$?
 case $status in
   0 | 1) exit $status ;;
--- a/review/part2/CancelledStep.java
+++ b/review/8/CancelledStep.java
@@ -26,7 +26,7 @@
   private CancelledStep() {}
 
   public static void main(String[] args) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean trouble = !args[2].equals("0");
     int status = 2;
     try (Record record = new Record(Path.of(args[1], "record.txt"));
         Deployment deployment = new Deployment(Path.of(args[0]), record)) {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 source config/jdk.sh
 rm -rf target/review-2
 mkdir -p target/review-2
-"$JAVA_HOME/bin/javac" -d target/review-2 review/part2/*.java
+"$JAVA_HOME/bin/javac" -d target/review-2 review/6/standins/*.java review/[6-9]/*.java
