--- a/review/6/RenewedSamplers.java
+++ b/review/6/RenewedSamplers.java
@@ -10,7 +10,7 @@
   private static final long OUTAGE_MS = 7_000;
   private static final long FIRST_RENEWAL_MS = 1_600;
   private static final long LAST_RENEWAL_MS = 1_900;
-  private static final long SUBMITTED_AFTER_MS = 2_200;
+  private static final long SUBMITTED_AFTER_MS = 1_000;
 
   /** Whether the entries are back with the next heartbeats, that is within 1.2 s. */
   private static final boolean SOON = "1".equals(System.getenv("SOON"));
@@ -19,7 +19,7 @@
   private static final long STEP_LIMIT_MS = 12_000;
   private static final long AT_NO_SAMPLER_MS = 5_000;
   private static final String BATCH = "7c41e09b52d6";
-  private static final int GROUPS = 6;
+  private static final int GROUPS = 9;
   private static final int GROUP_SIZE = 8;
   private static final int EVENTS = 26;
 
