Keep endpoints whose entries are renewed after an outage of the store

Cause: DeploymentWatch kept an endpoint whose entry may have expired, and removed it after 2 s with Map.remove(id, endpoint), which compares by value. A renewed entry usually equals the expired one, so it was removed too. The reverse happened to an endpoint that said meanwhile that it is leaving: it no longer equalled the kept one and stayed listed for good.

Change: EndpointList in core records by id which endpoints have no entry. Writing an entry takes the id out; the end of the grace period removes only the ids that are left. An endpoint that is kept already isn't judged anew by a read of the whole table, and an unreadable entry is not kept in such a read. This works because it no longer matters what the entry says, only whether it was written.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -3,14 +3,18 @@
 import io.netty.channel.EventLoop;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.sycamoretrack.core.process.LongPollWait;
 import org.sycamoretrack.core.process.MonotonicClock;
 import org.sycamoretrack.core.version.fleet.Endpoint;
+import org.sycamoretrack.core.version.fleet.EndpointList;
 import org.sycamoretrack.core.version.fleet.Fleet;
 import org.sycamoretrack.core.version.fleet.LeavingEndpoints;
 import org.sycamoretrack.core.version.routing.Manifest;
@@ -28,11 +32,9 @@
  *
  * <p>Invariants: the version of the manifest and of each model never decreases within a process. An
  * endpoint that is missing right after an outage of the store stays listed for {@value
- * #RENEWAL_GRACE_MS} ms, since its entry may have expired while the endpoint could not renew it.
- * This applies only when at least half of the endpoints of its service are missing, as after an
- * outage of the store itself. Fewer missing endpoints are assumed to have left while only this node
- * was disconnected from the store. A draining endpoint is not kept. An endpoint that said that it
- * is leaving counts as draining, whatever its row says ({@link LeavingEndpoints}).
+ * #RENEWAL_GRACE_MS} ms if its entry may have expired while the endpoint could not renew it ({@link
+ * EndpointList}). An endpoint that said that it is leaving counts as draining, whatever its row
+ * says ({@link LeavingEndpoints}).
  *
  * <p>Confined to the control loop, except for {@link #view} and {@link #manifestAgeMs}, which may
  * be called from any thread.
@@ -53,7 +55,7 @@
   private final Runnable onChange;
   private Consumer<EndpointReports> onReports = reports -> {};
   private final LeavingEndpoints leaving = new LeavingEndpoints();
-  private final Map<String, Endpoint> listed = new HashMap<>();
+  private final EndpointList listed = new EndpointList();
   private final Map<String, Integer> announcedVersions = new HashMap<>();
   private final Map<String, Owner> owners = new HashMap<>();
   private Manifest manifest;
@@ -124,7 +126,7 @@
             .with("endpoint", id)
             .with("startedAtMs", startedAtMs)
             .with("source", source));
-    listed.computeIfPresent(id, (unused, endpoint) -> leaving.apply(endpoint));
+    listed.update(id, leaving::apply);
     // Not at once: this may be called while the rows of a table are being applied.
     loop.execute(this::publish);
     return true;
@@ -191,7 +193,7 @@
     view =
         new DeploymentView(
             Optional.ofNullable(manifest),
-            new Fleet(listed.values()),
+            new Fleet(listed.all()),
             announcedVersions,
             weights,
             owners);
@@ -254,39 +256,23 @@
   private final class EndpointTableListener implements TableWatch.Listener {
     @Override
     public void onSnapshot(List<Row> rows) {
-      Map<String, Endpoint> missing = new HashMap<>(listed);
-      Map<String, Integer> countsBefore = countByService(missing.values());
-      listed.clear();
+      Set<String> missing = new HashSet<>(listed.ids());
+      rows.forEach(row -> missing.remove(row.key()));
+      remove(missing);
       rows.forEach(this::apply);
-      missing.keySet().removeAll(listed.keySet());
-      retainPossiblyExpired(missing, countsBefore);
       endpointsRead = true;
       publish();
     }
 
     @Override
     public void onChanges(List<Row> rows) {
-      Map<String, Endpoint> missing = new HashMap<>();
-      Map<String, Integer> countsBefore =
-          remainingGraceMs() > 0 ? countByService(listed.values()) : Map.of();
-      for (Row row : rows) {
-        if (!row.isRemoved()) {
-          apply(row);
-        } else if (listed.containsKey(row.key())) {
-          missing.put(row.key(), listed.remove(row.key()));
-        }
-      }
-      missing.keySet().removeAll(listed.keySet());
-      retainPossiblyExpired(missing, countsBefore);
+      Map<String, Row> newest = new LinkedHashMap<>();
+      rows.forEach(row -> newest.put(row.key(), row));
+      remove(newest.values().stream().filter(Row::isRemoved).map(Row::key).toList());
+      newest.values().stream().filter(row -> !row.isRemoved()).forEach(this::apply);
       publish();
     }
 
-    private static Map<String, Integer> countByService(Collection<Endpoint> endpoints) {
-      Map<String, Integer> counts = new HashMap<>();
-      endpoints.forEach(endpoint -> counts.merge(endpoint.service(), 1, Integer::sum));
-      return counts;
-    }
-
     /**
      * Returns for how much longer endpoints may renew entries that expired during an outage of the
      * store.
@@ -298,27 +284,25 @@
           : recoveredAtMs + RENEWAL_GRACE_MS - MonotonicClock.nowMs();
     }
 
-    private void retainPossiblyExpired(
-        Map<String, Endpoint> missing, Map<String, Integer> countsBefore) {
+    private void remove(Collection<String> ids) {
       long graceMs = remainingGraceMs();
-      if (graceMs <= 0 || missing.isEmpty()) {
-        return;
+      if (listed.remove(ids, graceMs > 0)) {
+        LOG.log(
+            System.Logger.Level.INFO,
+            LogEvent.of("endpoints-retained").with("missing", ids.size()).with("graceMs", graceMs));
+        loop.schedule(this::removeRetained, graceMs, TimeUnit.MILLISECONDS);
       }
-      Map<String, Integer> missingCounts = countByService(missing.values());
-      missing.forEach(
-          (id, endpoint) -> {
-            String service = endpoint.service();
-            boolean mayHaveExpired = 2 * missingCounts.get(service) >= countsBefore.get(service);
-            if (mayHaveExpired && !endpoint.draining()) {
-              listed.put(id, endpoint);
-              loop.schedule(
-                  () -> removeUnlessRenewed(id, endpoint), graceMs, TimeUnit.MILLISECONDS);
-            }
-          });
     }
 
-    private void removeUnlessRenewed(String id, Endpoint endpoint) {
-      if (listed.remove(id, endpoint)) {
+    private void removeRetained() {
+      // A further outage extends the time in which entries may be renewed.
+      long graceMs = remainingGraceMs();
+      if (graceMs > 0) {
+        loop.schedule(this::removeRetained, graceMs, TimeUnit.MILLISECONDS);
+      } else if (listed.removeRetained()) {
+        LOG.log(
+            System.Logger.Level.INFO,
+            LogEvent.of("endpoints-not-renewed").with("listed", listed.all().size()));
         publish();
       }
     }
@@ -326,7 +310,7 @@
     private void apply(Row row) {
       try {
         Endpoint endpoint = leaving.apply(codec.decodeEndpoint(row));
-        Endpoint before = listed.put(row.key(), endpoint);
+        Endpoint before = listed.put(endpoint);
         if (before == null || before.draining() != endpoint.draining()) {
           LOG.log(
               System.Logger.Level.INFO,
@@ -337,7 +321,7 @@
                   .with("version", row.version()));
         }
       } catch (IllegalArgumentException e) {
-        listed.remove(row.key());
+        listed.removeUnusable(row.key());
         logUnreadableRow(row, e);
       }
     }
