Don't drop endpoints in an outage that begins before entries are renewed

Callers saw: with a second outage of the store within two seconds of the return from the first, all endpoints whose entries had expired were dropped in the middle of the second one, so every request was refused until it had ended and the entries were back.

Cause: the end of the grace period was a timer. It fired although no entry can be renewed while the store is away.

Change: endpoints without an entry are removed once the store has responded after the end of the grace period, which begins anew with each outage. This works because only such a response shows that an entry was not renewed.

Evidence: DeploymentWatchTest#endpointStaysListedThroughASecondOutage failed before for a refusing and for a silent store (2 of 2, dropped during the second outage). DeploymentWatchTest passes (42 of 42).

--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -45,6 +45,8 @@
    */
   private static final long RENEWAL_GRACE_MS = 2_000;
 
+  private static final long CONFIRMATION_CHECK_MS = 100;
+
   private static final System.Logger LOG = System.getLogger(DeploymentWatch.class.getName());
 
   private final DeploymentCodec codec;
@@ -294,11 +296,14 @@
       }
     }
 
+    /**
+     * Removes the endpoints whose entries were not renewed. Only a response of the store from after
+     * the grace period shows that: in a further outage no entry can be renewed.
+     */
     private void removeRetained() {
-      // A further outage extends the time in which entries may be renewed.
-      long graceMs = remainingGraceMs();
-      if (graceMs > 0) {
-        loop.schedule(this::removeRetained, graceMs, TimeUnit.MILLISECONDS);
+      if (endpoints.lastResponseAtMs() < endpoints.recoveredAtMs() + RENEWAL_GRACE_MS) {
+        long delayMs = Math.max(remainingGraceMs(), CONFIRMATION_CHECK_MS);
+        loop.schedule(this::removeRetained, delayMs, TimeUnit.MILLISECONDS);
       } else if (listed.removeRetained()) {
         LOG.log(
             System.Logger.Level.INFO,
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -228,6 +228,14 @@
     return recoveredAtMs;
   }
 
+  /**
+   * Returns when the store last responded, by the monotonic clock; {@link Long#MIN_VALUE} before
+   * the first response.
+   */
+  long lastResponseAtMs() {
+    return lastResponseAtMs;
+  }
+
   private void onResponse(long sentAtMs) {
     confirmedAtMs = sentAtMs;
     long nowMs = MonotonicClock.nowMs();
