Don't run a batch whose end the watch of the owners has missed

Cause: a runner took a missing owner row for a removed one only after the watch had reported that row. The row was written and removed between two reads of the table, so it was never reported.

The row was written at a known version, and the watch knows up to which version its copy of the table is complete; a copy that reaches that version and lacks the row shows its removal. This works because all versions come from one counter and a gap in the reported changes can't hide it. Related: a node that takes a batch over respects an end that it reads, and what the watch has reported applies to a runner from its start.

--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/CapacityComponents.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/CapacityComponents.java
@@ -87,7 +87,8 @@
   }
 
   private static int ownerCount(DeploymentWatch watch) {
-    return (int) watch.view().owners().values().stream().map(Owner::nodeId).distinct().count();
+    return (int)
+        watch.view().owners().byBatchId().values().stream().map(Owner::nodeId).distinct().count();
   }
 
   private static Map<List<String>, Double> targets(CapacityService service) {
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeStateJson.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/NodeStateJson.java
@@ -42,7 +42,7 @@
       endpoints.add(endpoint(endpoint, view));
     }
     ArrayNode owners = json.putObject("owners").put("ageMs", watch.ownersAgeMs()).putArray("list");
-    for (Owner owner : view.owners().values()) {
+    for (Owner owner : view.owners().byBatchId().values()) {
       owners
           .addObject()
           .put("batch", owner.batchId())
--- a/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/process/storebacked/StoreBackedNode.java
@@ -160,7 +160,7 @@
         new ExpiredBatchCleaner(
             controlStore,
             settings.resultsPromisedMs(),
-            batchId -> watch.view().owners().containsKey(batchId),
+            batchId -> watch.view().owners().byBatchId().containsKey(batchId),
             System::currentTimeMillis);
     this.readinessServer =
         serve(trafficGroup, settings.readyAddress(), adapter.readinessHandler(this));
@@ -356,7 +356,7 @@
     loadCommandService.setCandidate(available && leaseCandidate);
     duties.ifPresent(held -> held.setCandidate(available, registry.nodeTable(), settings.nodeId()));
     if (!stopping && registry.isFresh()) {
-      orphanDetector.check(view.owners(), registry.readSentAtMs());
+      orphanDetector.check(view.owners().byBatchId(), registry.readSentAtMs());
     }
   }
 
@@ -399,7 +399,7 @@
     metrics.gauge(
         "deployment_batches",
         "Batches that are owned by some node",
-        () -> watch.view().owners().size());
+        () -> watch.view().owners().byBatchId().size());
     metrics.gauge(
         "order_lease_epoch",
         "Epoch of the order lease, 0 if this node does not hold it",
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRowCodec.java
@@ -127,6 +127,15 @@
     return writes;
   }
 
+  /**
+   * Returns whether a batch has ended.
+   *
+   * @param rows all rows of the batch in {@link #BATCH_TABLE}
+   */
+  static boolean isEnded(List<Row> rows) {
+    return rows.stream().anyMatch(row -> row.key().equals(END_KEY));
+  }
+
   /** Returns a write that has no effect if a batch has the id, which may be another customer's. */
   private static PartitionWrite.Builder beforeHead(String batchId) {
     return PartitionWrite.in(batchId).expect(BATCH_TABLE, HEAD_KEY, PartitionWrite.ABSENT);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchRunner.java
@@ -77,7 +77,6 @@
   private long nextSaveMs;
   private boolean saving;
   private boolean mayDispatch = true;
-  private boolean ownerRowSeen;
   private boolean closed;
 
   /**
@@ -126,16 +125,6 @@
     mayDispatch = allowed;
   }
 
-  /** Called when the watch of the owner table has reported the owner row of this node. */
-  void onOwnerRowSeen() {
-    ownerRowSeen = true;
-  }
-
-  /** Returns whether the watch has reported the owner row, so that its absence is significant. */
-  boolean wasOwnerRowSeen() {
-    return ownerRowSeen;
-  }
-
   /** Returns the endpoints that ran items of a group and so have its prompt cached. */
   Set<String> endpointsOf(String group) {
     return groupEndpoints.getOrDefault(group, Set.of());
--- a/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/request/batch/BatchService.java
@@ -29,6 +29,7 @@
 import org.sycamoretrack.daemon.process.LogEvent;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics;
 import org.sycamoretrack.daemon.process.StoreBackedNodeMetrics.OwnerChange;
+import org.sycamoretrack.daemon.version.deployment.BatchOwners;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 import org.sycamoretrack.transport.process.Json;
@@ -74,6 +75,8 @@
   private final Map<String, Boolean> takingOver = new HashMap<>();
   private final BatchReader reader;
   private final DemandMeter demandMeter = new DemandMeter(BatchScheduler.TOKENS_PER_EVENT);
+  private BatchOwners owners = BatchOwners.NOT_READ;
+  private boolean ownersCurrent = true;
   private boolean stopping;
 
   /**
@@ -244,6 +247,8 @@
     runner.resumeEndedItems();
     scheduler.add(runner);
     metrics.onOwnerChange(change);
+    // The owner row may have been replaced or removed while the batch was read.
+    applyOwners(runner);
   }
 
   /**
@@ -298,6 +303,12 @@
             store.scanAll(BatchRowCodec.RESULT_TABLE, batchId),
             (batchPage, resultPage) -> {
               List<Row> rows = batchPage.rows();
+              if (BatchRowCodec.isEnded(rows)) {
+                LOG.log(
+                    System.Logger.Level.INFO,
+                    LogEvent.of("takeover-of-ended-batch").with("batch", batchId));
+                return null;
+              }
               BatchSubmission submission = BatchRowCodec.readSubmission(batchId, rows);
               List<String> listed =
                   BatchRowCodec.readResults(resultPage.rows()).stream()
@@ -324,23 +335,27 @@
    * Processes the owner rows read from the store. Stops running batches that have another owner or
    * none.
    *
-   * @param owners the owners by batch id
+   * @param newOwners the owners
    * @param ageMs the time in milliseconds since the rows were last known to be current
    * @param maxAgeMs the age in milliseconds from which no new runs may start
    */
-  public void onOwners(Map<String, Owner> owners, long ageMs, long maxAgeMs) {
-    for (BatchRunner runner : List.copyOf(runners.values())) {
-      runner.setMayDispatch(ageMs < maxAgeMs);
-      Owner seen = owners.get(runner.owner().batchId());
-      if (seen == null) {
-        if (runner.wasOwnerRowSeen()) {
-          runner.close(OwnerChange.ENDED, "the owner row was removed");
-        }
-      } else if (seen.version() > runner.owner().version()) {
-        runner.close(OwnerChange.LOST, "taken over by node " + seen.nodeId());
-      } else if (seen.version() == runner.owner().version()) {
-        runner.onOwnerRowSeen();
+  public void onOwners(BatchOwners newOwners, long ageMs, long maxAgeMs) {
+    owners = newOwners;
+    ownersCurrent = ageMs < maxAgeMs;
+    List.copyOf(runners.values()).forEach(this::applyOwners);
+  }
+
+  private void applyOwners(BatchRunner runner) {
+    runner.setMayDispatch(ownersCurrent);
+    switch (owners.stateOf(runner.owner())) {
+      case NOT_READ, CURRENT -> {
+        // This node still owns the batch, as far as is known.
       }
+      case REPLACED ->
+          runner.close(
+              OwnerChange.LOST,
+              "taken over by node " + owners.byBatchId().get(runner.owner().batchId()).nodeId());
+      case REMOVED -> runner.close(OwnerChange.ENDED, "the owner row was removed");
     }
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentView.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentView.java
@@ -9,7 +9,6 @@
 import org.sycamoretrack.core.version.routing.Manifest;
 import org.sycamoretrack.core.version.routing.RequestCustomer;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.EndpointWeights;
-import org.sycamoretrack.daemon.version.deployment.ControlTables.Owner;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 
 /**
@@ -19,22 +18,22 @@
  * @param fleet the listed endpoints
  * @param announcedVersions the newest announced version by model
  * @param weights the endpoints that are assigned to each model, and the versions that they serve
- * @param owners the owners of open batches, by batch id
+ * @param owners the owners of open batches
  */
 public record DeploymentView(
     Optional<Manifest> manifest,
     Fleet fleet,
     Map<String, Integer> announcedVersions,
     WeightPlan weights,
-    Map<String, Owner> owners) {
+    BatchOwners owners) {
   /** The view before anything was read. */
   public static final DeploymentView EMPTY =
-      new DeploymentView(Optional.empty(), Fleet.EMPTY, Map.of(), WeightPlan.EMPTY, Map.of());
+      new DeploymentView(
+          Optional.empty(), Fleet.EMPTY, Map.of(), WeightPlan.EMPTY, BatchOwners.NOT_READ);
 
-  /** Copies the maps. */
+  /** Copies the versions. */
   public DeploymentView {
     announcedVersions = Map.copyOf(announcedVersions);
-    owners = Map.copyOf(owners);
   }
 
   /**
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -198,7 +198,7 @@
             new Fleet(listed.all()),
             announcedVersions,
             weights,
-            owners);
+            new BatchOwners(owners, control.version()));
     onChange.run();
   }
 
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/TableWatch.java
@@ -111,6 +111,11 @@
     stopped = true;
   }
 
+  /** Returns the version of the store up to which the listener has been called with all rows. */
+  long version() {
+    return version;
+  }
+
   /**
    * Returns when the last successful call was sent, by the monotonic clock; {@link Long#MIN_VALUE}
    * before the first response.
--- a/daemon/src/test/java/org/sycamoretrack/daemon/version/capacity/CapacityServiceTest.java
+++ b/daemon/src/test/java/org/sycamoretrack/daemon/version/capacity/CapacityServiceTest.java
@@ -31,6 +31,7 @@
 import org.sycamoretrack.daemon.client.MemoryPartitionedStore;
 import org.sycamoretrack.daemon.client.PartitionedStore.Row;
 import org.sycamoretrack.daemon.client.UsageReport;
+import org.sycamoretrack.daemon.version.deployment.BatchOwners;
 import org.sycamoretrack.daemon.version.deployment.ControlTables;
 import org.sycamoretrack.daemon.version.deployment.ControlTables.WeightPlan;
 import org.sycamoretrack.daemon.version.deployment.DeploymentView;
@@ -107,7 +108,7 @@
         new Fleet(endpoints),
         Map.of(),
         WeightPlan.EMPTY,
-        Map.of());
+        BatchOwners.NOT_READ);
   }
 
   private EventLoopGroup startNode(String nodeId) {
