Detect a lost node while the number of nodes changes

Cause: above 50 nodes the heartbeat timeout follows the number of nodes, and NodeTable.setTimeoutMs started the observation of all rows anew whenever the timeout differed. Detection takes 2 to 4 s, so with a change each second no dead node was ever detected.

Change: a changed timeout keeps what has been observed. A longer one applies at once to the current observation of each row (LeaseWatch.extendDuration), a shorter one from the row's next version on. This works because a dead node's row no longer changes: it is detected by the longest timeout that held since its last heartbeat, however often the timeout changes.

--- a/core/src/main/java/org/sycamoretrack/core/process/LeaseWatch.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/LeaseWatch.java
@@ -19,8 +19,8 @@
  * expired.
  */
 public final class LeaseWatch {
-  private final long durationMs;
   private final long graceMs;
+  private long durationMs;
   private long version = -1;
   private long unchangedSinceMs;
   private long lastSentMs;
@@ -47,6 +47,15 @@
     this.graceMs = graceMs;
   }
 
+  /**
+   * Extends the duration. What has been observed so far still counts.
+   *
+   * @param newDurationMs how long the row must stay unchanged; ignored if it is shorter than before
+   */
+  public void extendDuration(long newDurationMs) {
+    durationMs = Math.max(durationMs, newDurationMs);
+  }
+
   /** Handles a failed read. */
   public void onReadFailed() {
     readFailed = true;
--- a/core/src/main/java/org/sycamoretrack/core/process/ownership/NodeTable.java
+++ b/core/src/main/java/org/sycamoretrack/core/process/ownership/NodeTable.java
@@ -39,16 +39,16 @@
   }
 
   /**
-   * Sets how long a live node's row may stay unchanged. A change restarts the observation of all
-   * rows.
+   * Sets how long a live node's row may stay unchanged. What has been observed of the rows so far
+   * still counts, so that a dead node is detected while the timeout changes with the number of
+   * nodes. A longer timeout applies to all rows at once. A shorter one applies to a row from its
+   * next version on, since its node may have written the current version at a longer interval.
    *
    * @param newTimeoutMs the timeout in milliseconds
    */
   public void setTimeoutMs(long newTimeoutMs) {
-    if (newTimeoutMs != timeoutMs) {
-      timeoutMs = newTimeoutMs;
-      nodes.replaceAll((id, watched) -> new Watched(watched.node, new LeaseWatch(timeoutMs)));
-    }
+    timeoutMs = newTimeoutMs;
+    nodes.values().forEach(watched -> watched.watch.extendDuration(timeoutMs));
   }
 
   /**
@@ -66,7 +66,8 @@
     rows.forEach(
         (node, version) -> {
           Watched watched = previous.get(node.nodeId());
-          LeaseWatch watch = watched == null ? new LeaseWatch(timeoutMs) : watched.watch;
+          boolean unchanged = watched != null && watched.watch.version() == version;
+          LeaseWatch watch = unchanged ? watched.watch : new LeaseWatch(timeoutMs);
           watch.onRead(version, sentMs, receivedMs);
           nodes.put(node.nodeId(), new Watched(node, watch));
         });
--- a/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests of {@link NodeTable}. */
 class NodeTableTest {
@@ -73,6 +75,49 @@
     assertThat(table.isServing("a", "1")).isFalse();
   }
 
+  /**
+   * Guards against a dead node that isn't detected while nodes are added or lost: each change of
+   * the timeout restarted the observation of its row.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {40, -40})
+  void aDeadNodeIsDetectedWhileTheTimeoutChanges(long timeoutChangeMs) {
+    NodeRecord dead = node("a", "1", false);
+    NodeRecord live = node("b", "1", false);
+    long readIntervalMs = 500;
+    long timeoutMs = 2_000;
+    long heartbeat = 10;
+    table.setTimeoutMs(timeoutMs);
+    table.onRead(Map.of(dead, 5L, live, heartbeat), 0, 0);
+    for (long atMs = readIntervalMs; atMs <= 2_000 + readIntervalMs; atMs += readIntervalMs) {
+      timeoutMs += timeoutChangeMs;
+      table.setTimeoutMs(timeoutMs);
+      table.onRead(Map.of(dead, 5L, live, ++heartbeat), atMs, atMs);
+    }
+    assertThat(table.isServing("a", "1")).isFalse();
+    assertThat(table.isServing("b", "1")).isTrue();
+  }
+
+  /** Nodes write at the interval that they derived from the former number of nodes. */
+  @Test
+  void aLiveNodeIsNotDeadWhenManyOthersAreLost() {
+    NodeRecord node = node("a", "1", false);
+    table.setTimeoutMs(14_000);
+    table.onRead(Map.of(node, 5L), 0, 0);
+
+    table.setTimeoutMs(3_200);
+    table.onRead(Map.of(node, 5L), 1_500, 1_500);
+    table.onRead(Map.of(node, 5L), 3_000, 3_000);
+    table.onRead(Map.of(node, 5L), 3_400, 3_400);
+    assertThat(table.isServing("a", "1")).isTrue();
+
+    table.onRead(Map.of(node, 6L), 4_000, 4_000);
+    table.onRead(Map.of(node, 6L), 5_500, 5_500);
+    table.onRead(Map.of(node, 6L), 7_000, 7_000);
+    table.onRead(Map.of(node, 6L), 7_200, 7_200);
+    assertThat(table.isServing("a", "1")).isFalse();
+  }
+
   @Test
   void anEarlierIncarnationIsNotServing() {
     table.onRead(Map.of(node("a", "2", false), 5L), 0, 10);
