Don't take a response with an invalid status for an answer

Callers saw (reported of another system, and the same here): a sampler sent a response with the status 000, and the caller got it as the answer. With X-Not-Executed beside it, it promised that the request was not run.

Cause: Netty takes any integer for a status and nothing checked its range. All below 500 counts as an answer of the endpoint.

--- a/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
+++ b/transport/src/main/java/org/sycamoretrack/transport/connection/ClientConnection.java
@@ -179,7 +179,11 @@
     }
     exchange.onRead();
     if (message.decoderResult().isFailure()) {
-      fail(HttpException.Kind.MALFORMED, "the response is not valid HTTP");
+      fail(
+          HttpException.Kind.MALFORMED,
+          message.decoderResult().cause() instanceof HttpException failure
+              ? failure.getMessage()
+              : "the response is not valid HTTP");
       return;
     }
     if (message instanceof HttpResponse response && !onHead(response)) {
--- a/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
+++ b/transport/src/test/java/org/sycamoretrack/transport/connection/HttpRoundTripTest.java
@@ -244,6 +244,33 @@
     }
   }
 
+  /** Guards against a status that HTTP doesn't allow and that counts as the result of the call. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "000", "001", "099", "101", "600", "799", "999", "0", "20", "2", "0200", "2000", "+200",
+        "-200", "20x", "0x1"
+      })
+  void invalidStatusFailsTheCall(String status) {
+    String response = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok";
+    assertThatThrownBy(() -> callRaw(response, "GET"))
+        .cause()
+        .isInstanceOfSatisfying(
+            HttpException.class,
+            failure -> {
+              assertThat(failure.kind()).isEqualTo(HttpException.Kind.MALFORMED);
+              assertThat(failure).hasMessage("the status of the response is not valid");
+              assertThat(failure.maybeSent()).isTrue();
+            });
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {200, 204, 299, 304, 399, 404, 418, 500, 599})
+  void validStatusIsReturned(int status) throws Exception {
+    String response = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+    assertThat(callRaw(response, "GET").status()).isEqualTo(status);
+  }
+
   /**
    * Guards against a body whose rest is taken from the second copy of a response that broke off.
    */
