Count endpoints by service only when entries were removed

Reading the change again: EndpointList counted all endpoints for each change of the list, which is work on the control loop that grows with the deployment, though most changes remove nothing. It returns at once now. The comment of DeploymentWatch says how long an endpoint stays without an entry, and the test of the node table names its first timeout.

--- a/core/src/main/java/org/sycamoretrack/core/version/fleet/EndpointList.java
+++ b/core/src/main/java/org/sycamoretrack/core/version/fleet/EndpointList.java
@@ -85,10 +85,13 @@
    * @return whether endpoints were retained
    */
   public boolean remove(Collection<String> ids, boolean mayHaveExpired) {
-    Map<String, Integer> listedCounts = countByService(endpoints.keySet());
     Set<String> missing = new HashSet<>(ids);
     missing.retainAll(endpoints.keySet());
     missing.removeAll(retained);
+    if (missing.isEmpty()) {
+      return false;
+    }
+    Map<String, Integer> listedCounts = countByService(endpoints.keySet());
     Set<String> withoutEntry = new HashSet<>(missing);
     withoutEntry.addAll(retained);
     Map<String, Integer> missingCounts = countByService(withoutEntry);
--- a/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
+++ b/core/src/test/java/org/sycamoretrack/core/process/ownership/NodeTableTest.java
@@ -85,11 +85,14 @@
     NodeRecord dead = node("a", "1", false);
     NodeRecord live = node("b", "1", false);
     long readIntervalMs = 500;
-    long timeoutMs = 2_000;
+    long initialTimeoutMs = 2_000;
+    long timeoutMs = initialTimeoutMs;
     long heartbeat = 10;
     table.setTimeoutMs(timeoutMs);
     table.onRead(Map.of(dead, 5L, live, heartbeat), 0, 0);
-    for (long atMs = readIntervalMs; atMs <= 2_000 + readIntervalMs; atMs += readIntervalMs) {
+    for (long atMs = readIntervalMs;
+        atMs <= initialTimeoutMs + readIntervalMs;
+        atMs += readIntervalMs) {
       timeoutMs += timeoutChangeMs;
       table.setTimeoutMs(timeoutMs);
       table.onRead(Map.of(dead, 5L, live, ++heartbeat), atMs, atMs);
--- a/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
+++ b/daemon/src/main/java/org/sycamoretrack/daemon/version/deployment/DeploymentWatch.java
@@ -33,8 +33,8 @@
  * <p>Invariants: the version of the manifest and of each model never decreases within a process. An
  * endpoint that is missing right after an outage of the store stays listed for {@value
  * #RENEWAL_GRACE_MS} ms if its entry may have expired while the endpoint could not renew it ({@link
- * EndpointList}). An endpoint that said that it is leaving counts as draining, whatever its row
- * says ({@link LeavingEndpoints}).
+ * EndpointList}), and longer if the store is unavailable again by then. An endpoint that said that
+ * it is leaving counts as draining, whatever its row says ({@link LeavingEndpoints}).
  *
  * <p>Confined to the control loop, except for {@link #view} and {@link #manifestAgeMs}, which may
  * be called from any thread.
