Review cases: start a node again whose port was taken

Cause: the scripts choose free ports and close them before the node binds; with several cases at a time another process may take one, and the node ends.

Change: a node that has ended before it was ready is started with other ports.

--- a/review/common-3/NodeProcess.java
+++ b/review/common-3/NodeProcess.java
@@ -15,20 +15,27 @@
   private final Path settings;
   private final File log;
   private final String id;
-  final int front;
-  final int ready;
-  final int metrics;
+  private final String zone;
+  private final String store;
+  volatile int front;
+  volatile int ready;
   private Process process;
 
   NodeProcess(Path project, Path folder, String id, String zone, String store) throws IOException {
     this.project = project;
     this.id = id;
+    this.zone = zone;
+    this.store = store;
     this.settings = folder.resolve(id + ".json");
     this.log = folder.resolve(id + ".log").toFile();
+    writeSettings();
+    start();
+  }
+
+  private void writeSettings() throws IOException {
     List<Integer> ports = freePorts(4);
     front = ports.get(0);
     ready = ports.get(1);
-    metrics = ports.get(2);
     var json =
         new ObjectMapper()
             .createObjectNode()
@@ -36,7 +43,7 @@
             .put("zone", zone)
             .put("callerAddress", "127.0.0.1:" + front)
             .put("readyAddress", "127.0.0.1:" + ready)
-            .put("metricsAddress", "127.0.0.1:" + metrics)
+            .put("metricsAddress", "127.0.0.1:" + ports.get(2))
             .put("peerAddress", "127.0.0.1:" + ports.get(3))
             .put("storeAddress", store)
             .put("graceSeconds", 8)
@@ -44,7 +51,6 @@
             .put("drainMs", 2000)
             .put("resultsPromisedSeconds", 120);
     Files.writeString(settings, json.toString());
-    start();
   }
 
   private static List<Integer> freePorts(int count) throws IOException {
@@ -104,10 +110,17 @@
     process.waitFor(5, TimeUnit.SECONDS);
   }
 
-  /** Waits until the node is ready; returns whether it is. */
-  boolean awaitReady(long timeoutMs) throws InterruptedException {
+  /**
+   * Waits until the node is ready; returns whether it is. A node that has ended since another process
+   * has taken one of its ports is started again with other ones.
+   */
+  boolean awaitReady(long timeoutMs) throws IOException, InterruptedException {
     long end = System.nanoTime() + timeoutMs * 1_000_000;
     while (System.nanoTime() < end) {
+      if (!process.isAlive()) {
+        writeSettings();
+        start();
+      }
       if (isReady()) {
         return true;
       }
