Review: stand-ins and drivers move into the case folders

Cause: the files shared by the cases lay in a folder that isn't a case.

Change: the stand-ins go to review/11/standins, each driver to the folder of its case, and build-3.sh compiles them there. No line of them is changed.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,4 +7,4 @@
 out=target/review-3
 rm -rf "$out"
 mkdir -p "$out"
-"$JAVA_HOME/bin/javac" -nowarn -d "$out" -cp target/sycamoretrack-platform.jar review/common-3/*.java
+"$JAVA_HOME/bin/javac" -nowarn -d "$out" -cp target/sycamoretrack-platform.jar review/11/standins/*.java review/1[1-5]/*.java
